--- /dev/null
+++ b/cmd/adapter/main.go
@@ -0,0 +1,26 @@
+// Command adapter hosts instances of the decision module, one a scheduler,
+// between the simulator's wire on standard input and output. The instances
+// share nothing.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"honeyplank"
+	"honeyplank/internal/wire"
+	"honeyplank/policy"
+)
+
+func main() {
+	start := func(seed int64, settings map[string]any) wire.Handler {
+		return policy.New(seed, settings)
+	}
+	if err := wire.Serve(os.Stdin, os.Stdout, start); err != nil {
+		fmt.Fprintln(os.Stderr, "adapter:", err)
+		os.Exit(1)
+	}
+}
+
+var _ wire.Handler = (*policy.Scheduler)(nil)
+var _ honeyplank.Event = honeyplank.Op{}
--- /dev/null
+++ b/honeyplank.go
@@ -0,0 +1,211 @@
+// Package honeyplank holds the interface between the decision module and
+// whatever feeds it: events in, actions out, and the ids and outcomes they
+// speak of. It decides nothing. All times are spans since the clock's start.
+//
+// Settings travel beside it as a plain map[string]any from our names to
+// values; package internal/wire lists the names it fills in.
+package honeyplank
+
+import "time"
+
+// OpID names an op and OSDID a disk server, both as the wire gives them.
+type (
+	OpID  string
+	OSDID string
+)
+
+// Kind tells what a repeat of an op may do.
+type Kind int
+
+const (
+	Replayable   Kind = iota // may run again
+	Deduplicated             // repeats are dropped inside a scope, for a time
+	OnceOnly                 // must never run twice
+)
+
+// Scope is the group of disk servers that drops repeats of a deduplicated op.
+type Scope int
+
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// Code tells how a dispatch or probe ended.
+type Code int
+
+const (
+	Acked       Code = 1 + iota // served
+	Errored                     // an error came back; it may have run
+	Full                        // turned away unseen
+	TimedOut                    // no answer in time; it may have run
+	Unconnected                 // no connection; it never ran
+	Reset                       // the connection dropped; it may have run
+	Cancelled                   // withdrawn; it may have run
+	Moot                        // never sent
+)
+
+// MemberState is what the list says of a disk server.
+type MemberState int
+
+const (
+	On MemberState = iota
+	Draining
+	Gone
+)
+
+// ListKind tells how to read the entries of a list event.
+type ListKind int
+
+const (
+	Changes    ListKind = iota // apply on top of the list held
+	Whole                      // replaces the list held
+	Remembered                 // the whole list as last seen, perhaps stale
+	Refused                    // a watch or fetch failed or a watch ended; no entries
+)
+
+// Member is a disk server as the list knows it.
+type Member struct {
+	OSD     OSDID
+	Started time.Duration // when it last started; 0: long ago
+	Size    float64       // a size to compare with other servers'
+	Model   int
+	Zone    int
+	Cell    int
+	State   MemberState
+}
+
+// NewObject as an op's Cell: any disk server may take it.
+const NewObject = -1
+
+// Event is one of List, Op, Outcome, Began, Timer, Probed, Peer, Lapsed.
+type Event interface{ event() }
+
+type (
+	// List brings news of the disk servers.
+	List struct {
+		Kind    ListKind
+		Version int64
+		Members []Member
+	}
+	// Op is a client's op that this scheduler now owes one final answer.
+	Op struct {
+		ID      OpID
+		Units   float64
+		Timeout time.Duration // the clock time at which the client gives up
+		Plan    int
+		Type    int
+		Key     int64 // piece of data read or written
+		Keyed   bool
+		Write   bool
+		Hosts   int // schedulers through which the volume's ops come
+		Retry   bool
+		Volume  int64
+		Cell    int // holder of the data, or NewObject
+	}
+	// Outcome ends one dispatch. Done: the op has had its final answer.
+	Outcome struct {
+		Op        OpID
+		Dispatch  int
+		OSD       OSDID
+		Code      Code
+		Elapsed   time.Duration
+		Done      bool
+		Used      int     // 1 + percent of the plan's rate served everywhere; 0: not told
+		Elsewhere float64 // units this server did for the volume for other schedulers
+		Load      map[string]float64
+	}
+	// Began tells that a streamed answer has started.
+	Began struct {
+		Op       OpID
+		Dispatch int
+		OSD      OSDID
+		Elapsed  time.Duration
+	}
+	// Timer is a timer set by SetTimer that has run out.
+	Timer struct{ Name string }
+	// Probed ends a Probe.
+	Probed struct {
+		OSD     OSDID
+		Code    Code
+		Elapsed time.Duration
+		Load    map[string]float64
+	}
+	// Peer is a message from another scheduler.
+	Peer struct {
+		From int
+		Data []byte
+	}
+	// Lapsed tells that the client has gone; nothing more is owed.
+	Lapsed struct{ Op OpID }
+)
+
+func (List) event()    {}
+func (Op) event()      {}
+func (Outcome) event() {}
+func (Began) event()   {}
+func (Timer) event()   {}
+func (Probed) event()  {}
+func (Peer) event()    {}
+func (Lapsed) event()  {}
+
+// Action is one of Dispatch, Throttle, Abort, Cancel, Probe, Tell, Log,
+// Watch, Fetch, SetTimer, CloseIdle.
+type Action interface{ action() }
+
+type (
+	// Dispatch sends an op to a disk server; After 0: until the op timeout.
+	Dispatch struct {
+		Op    OpID
+		OSD   OSDID
+		After time.Duration
+	}
+	// Throttle answers that trying again is harmless, with advice when.
+	Throttle struct {
+		Op         OpID
+		RetryAfter time.Duration
+	}
+	// Abort answers with no promise.
+	Abort struct{ Op OpID }
+	// Cancel stops waiting for one dispatch.
+	Cancel struct {
+		Op       OpID
+		Dispatch int
+	}
+	// Probe checks on a disk server.
+	Probe struct{ OSD OSDID }
+	// CloseIdle shuts idle connections to a disk server.
+	CloseIdle struct{ OSD OSDID }
+	// Tell sends a message to a peer, or to all with Everyone.
+	Tell struct {
+		To   int
+		Data []byte
+	}
+	// Log adds a line to the operators' report.
+	Log struct{ Text string }
+	// Watch asks for list changes from now on.
+	Watch struct{ On bool }
+	// Fetch asks for the whole list once.
+	Fetch struct{}
+	// SetTimer asks for a Timer event at a clock time.
+	SetTimer struct {
+		At   time.Duration
+		Name string
+	}
+)
+
+// Everyone as Tell.To addresses every peer.
+const Everyone = -1
+
+func (Dispatch) action()  {}
+func (Throttle) action()  {}
+func (Abort) action()     {}
+func (Cancel) action()    {}
+func (Probe) action()     {}
+func (CloseIdle) action() {}
+func (Tell) action()      {}
+func (Log) action()       {}
+func (Watch) action()     {}
+func (Fetch) action()     {}
+func (SetTimer) action()  {}
--- /dev/null
+++ b/internal/wire/actions.go
@@ -0,0 +1,58 @@
+package wire
+
+import (
+	"encoding/hex"
+
+	"honeyplank"
+)
+
+// message is an action on the wire; absent fields mean the same as zero.
+type message struct {
+	Op        string   `json:"op"`
+	Inst      string   `json:"scheduler_id"`
+	Job       string   `json:"job,omitempty"`
+	Server    string   `json:"server,omitempty"`
+	GiveUp    float64  `json:"give_up_after_ms,omitempty"`
+	Backoff   float64  `json:"backoff_ms,omitempty"`
+	Leg       *int     `json:"leg,omitempty"`
+	Addressee any      `json:"addressee,omitempty"`
+	Raw       *string  `json:"raw,omitempty"`
+	Text      string   `json:"body_text,omitempty"`
+	Enable    *bool    `json:"enable,omitempty"`
+	DueAt     *float64 `json:"due_at_ms,omitempty"`
+	Ref       string   `json:"ref,omitempty"`
+}
+
+func encode(inst string, action honeyplank.Action) message {
+	m := message{Inst: inst}
+	switch a := action.(type) {
+	case honeyplank.Dispatch:
+		m.Op, m.Job, m.Server, m.GiveUp = "assign", string(a.Op), string(a.OSD), millis(a.After)
+	case honeyplank.Throttle:
+		m.Op, m.Job, m.Backoff = "push_back", string(a.Op), millis(a.RetryAfter)
+	case honeyplank.Abort:
+		m.Op, m.Job = "respond_error", string(a.Op)
+	case honeyplank.Cancel:
+		m.Op, m.Job, m.Leg = "call_off", string(a.Op), &a.Dispatch
+	case honeyplank.Probe:
+		m.Op, m.Server = "test", string(a.OSD)
+	case honeyplank.CloseIdle:
+		m.Op, m.Server = "release", string(a.OSD)
+	case honeyplank.Tell:
+		raw := hex.EncodeToString(a.Data)
+		m.Op, m.Addressee, m.Raw = "say", a.To, &raw
+		if a.To == honeyplank.Everyone {
+			m.Addressee = "*"
+		}
+	case honeyplank.Log:
+		m.Op, m.Text = "print", a.Text
+	case honeyplank.Watch:
+		m.Op, m.Enable = "track", &a.On
+	case honeyplank.Fetch:
+		m.Op = "read_list"
+	case honeyplank.SetTimer:
+		at := millis(a.At)
+		m.Op, m.DueAt, m.Ref = "sleep", &at, a.Name
+	}
+	return m
+}
--- /dev/null
+++ b/internal/wire/events.go
@@ -0,0 +1,215 @@
+package wire
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+
+	"honeyplank"
+)
+
+type decoder func(raw []byte, fields []string) (honeyplank.Event, error)
+
+var decoders = map[string]decoder{
+	"discovery":   decodeList,
+	"request":     decodeOp,
+	"response":    decodeOutcome,
+	"begun":       decodeBegan,
+	"wakeup":      decodeTimer,
+	"status_back": decodeProbed,
+	"heard":       decodePeer,
+	"lapsed":      decodeLapsed,
+}
+
+var listKinds = map[string]honeyplank.ListKind{
+	"changes": honeyplank.Changes, "all": honeyplank.Whole,
+	"remembered": honeyplank.Remembered, "refused": honeyplank.Refused,
+}
+
+var memberStates = map[string]honeyplank.MemberState{
+	"on": honeyplank.On, "fading": honeyplank.Draining, "off": honeyplank.Gone,
+}
+
+func decodeList(raw []byte, _ []string) (honeyplank.Event, error) {
+	var m struct {
+		How   string `json:"how"`
+		Epoch int64  `json:"epoch"`
+		Nodes []struct {
+			Server    string  `json:"server"`
+			StartMS   float64 `json:"last_start_ms"`
+			Capacity  float64 `json:"capacity_hint"`
+			Kind      int     `json:"kind"`
+			Readiness string  `json:"readiness"`
+			AZ        int     `json:"az"`
+			Cell      int     `json:"cell"`
+		} `json:"nodes_list"`
+	}
+	if err := json.Unmarshal(raw, &m); err != nil {
+		return nil, err
+	}
+	kind, ok := listKinds[m.How]
+	if !ok {
+		return nil, fmt.Errorf("how %q is unknown", m.How)
+	}
+	l := honeyplank.List{Kind: kind, Version: m.Epoch}
+	for _, n := range m.Nodes {
+		state, ok := memberStates[n.Readiness]
+		if !ok {
+			return nil, fmt.Errorf("readiness %q is unknown", n.Readiness)
+		}
+		l.Members = append(l.Members, honeyplank.Member{
+			OSD: honeyplank.OSDID(n.Server), Started: span(n.StartMS), Size: n.Capacity,
+			Model: n.Kind, Zone: n.AZ, Cell: n.Cell, State: state,
+		})
+	}
+	return l, nil
+}
+
+func decodeOp(raw []byte, _ []string) (honeyplank.Event, error) {
+	var m struct {
+		Job      string   `json:"job"`
+		Units    float64  `json:"units"`
+		Deadline float64  `json:"deadline_ms"`
+		Tier     int      `json:"tier"`
+		Chunk    *int64   `json:"chunk"`
+		IsWrite  bool     `json:"is_write"`
+		Priority int      `json:"priority"`
+		SetSize  float64  `json:"set_size"`
+		Retry    bool     `json:"retry"`
+		Share    int64    `json:"share_id"`
+		Place    *float64 `json:"placement"`
+	}
+	if err := json.Unmarshal(raw, &m); err != nil {
+		return nil, err
+	}
+	op := honeyplank.Op{
+		ID: honeyplank.OpID(m.Job), Units: m.Units, Timeout: span(m.Deadline), Plan: m.Tier,
+		Type: m.Priority, Keyed: m.Chunk != nil, Write: m.IsWrite, Hosts: int(m.SetSize),
+		Retry: m.Retry, Volume: m.Share,
+	}
+	if m.Chunk != nil {
+		op.Key = *m.Chunk
+	}
+	if m.Place != nil {
+		op.Cell = int(*m.Place)
+	}
+	return op, nil
+}
+
+func decodeOutcome(raw []byte, fields []string) (honeyplank.Event, error) {
+	var m struct {
+		Job     string    `json:"job"`
+		Leg     int       `json:"leg"`
+		Server  string    `json:"server"`
+		Code    int       `json:"state_code"`
+		Elapsed float64   `json:"elapsed_ms"`
+		Done    bool      `json:"done_flag"`
+		Use     int       `json:"use_pct"`
+		Foreign float64   `json:"foreign_units"`
+		Load    []float64 `json:"feedback"`
+	}
+	if err := json.Unmarshal(raw, &m); err != nil {
+		return nil, err
+	}
+	code, err := outcomeCode(m.Code)
+	if err != nil {
+		return nil, err
+	}
+	return honeyplank.Outcome{
+		Op: honeyplank.OpID(m.Job), Dispatch: m.Leg, OSD: honeyplank.OSDID(m.Server), Code: code,
+		Elapsed: span(m.Elapsed), Done: m.Done, Used: m.Use, Elsewhere: m.Foreign,
+		Load: report(m.Load, fields),
+	}, nil
+}
+
+func outcomeCode(code int) (honeyplank.Code, error) {
+	if code < int(honeyplank.Acked) || code > int(honeyplank.Moot) {
+		return 0, fmt.Errorf("state_code %d is unknown", code)
+	}
+	return honeyplank.Code(code), nil
+}
+
+// report names the values of a load report, by the simulator's field names
+// less their units.
+func report(values []float64, fields []string) map[string]float64 {
+	if len(values) == 0 {
+		return nil
+	}
+	named := map[string]float64{}
+	for i, f := range fields {
+		if i < len(values) {
+			if f == "latency_ms" {
+				f = "latency"
+			}
+			named[f] = values[i]
+		}
+	}
+	return named
+}
+
+func decodeBegan(raw []byte, _ []string) (honeyplank.Event, error) {
+	var m struct {
+		Job     string  `json:"job"`
+		Leg     int     `json:"leg"`
+		Server  string  `json:"server"`
+		Elapsed float64 `json:"elapsed_ms"`
+	}
+	if err := json.Unmarshal(raw, &m); err != nil {
+		return nil, err
+	}
+	return honeyplank.Began{Op: honeyplank.OpID(m.Job), Dispatch: m.Leg,
+		OSD: honeyplank.OSDID(m.Server), Elapsed: span(m.Elapsed)}, nil
+}
+
+func decodeTimer(raw []byte, _ []string) (honeyplank.Event, error) {
+	var m struct {
+		Ref string `json:"ref"`
+	}
+	if err := json.Unmarshal(raw, &m); err != nil {
+		return nil, err
+	}
+	return honeyplank.Timer{Name: m.Ref}, nil
+}
+
+func decodeProbed(raw []byte, fields []string) (honeyplank.Event, error) {
+	var m struct {
+		Server  string    `json:"server"`
+		Code    int       `json:"state_code"`
+		Elapsed float64   `json:"elapsed_ms"`
+		Load    []float64 `json:"feedback"`
+	}
+	if err := json.Unmarshal(raw, &m); err != nil {
+		return nil, err
+	}
+	code, err := outcomeCode(m.Code)
+	if err != nil {
+		return nil, err
+	}
+	return honeyplank.Probed{OSD: honeyplank.OSDID(m.Server), Code: code,
+		Elapsed: span(m.Elapsed), Load: report(m.Load, fields)}, nil
+}
+
+func decodePeer(raw []byte, _ []string) (honeyplank.Event, error) {
+	var m struct {
+		From int    `json:"origin_peer"`
+		Raw  string `json:"raw"`
+	}
+	if err := json.Unmarshal(raw, &m); err != nil {
+		return nil, err
+	}
+	data, err := hex.DecodeString(m.Raw)
+	if err != nil {
+		return nil, fmt.Errorf("raw: %w", err)
+	}
+	return honeyplank.Peer{From: m.From, Data: data}, nil
+}
+
+func decodeLapsed(raw []byte, _ []string) (honeyplank.Event, error) {
+	var m struct {
+		Job string `json:"job"`
+	}
+	if err := json.Unmarshal(raw, &m); err != nil {
+		return nil, err
+	}
+	return honeyplank.Lapsed{Op: honeyplank.OpID(m.Job)}, nil
+}
--- /dev/null
+++ b/internal/wire/provision.go
@@ -0,0 +1,151 @@
+package wire
+
+import (
+	"fmt"
+	"time"
+
+	"honeyplank"
+)
+
+type provision struct {
+	Salt   int64       `json:"salt"`
+	Config siteFigures `json:"config"`
+}
+
+// siteFigures are the settings as the wire words them.
+type siteFigures struct {
+	Caps struct {
+		Cancel        bool    `json:"cancel"`
+		MaxAttempts   int     `json:"max_attempts"`
+		MaxRetryAfter float64 `json:"max_retry_after_ms"`
+		MayDuplicate  bool    `json:"may_duplicate"`
+		Peers         bool    `json:"peer_messages"`
+		Probes        bool    `json:"probes"`
+		RetryAfter    bool    `json:"retry_after"`
+	} `json:"caps"`
+	Classes []struct {
+		Scope     string  `json:"dedup_scope"`
+		GiveUp    float64 `json:"give_up_ms"`
+		LateWorth float64 `json:"late_worth"`
+		Semantics string  `json:"semantics"`
+		Streaming bool    `json:"streaming"`
+		Target    float64 `json:"target_ms"`
+		Stretch   float64 `json:"aim_stretch"`
+		Window    float64 `json:"window_ms"`
+		Worth     float64 `json:"worth"`
+		InOrder   bool    `json:"in_order"`
+	} `json:"classes"`
+	Family struct {
+		Writes       []bool  `json:"changes_data"`
+		CountsOthers bool    `json:"counts_others"`
+		IdleWorth    float64 `json:"idle_worth"`
+		Largest      float64 `json:"largest"`
+		UnitMean     float64 `json:"unit_mean"`
+		UsePeriod    float64 `json:"use_period_ms"`
+		WithinShare  float64 `json:"within_share"`
+		YoungLimit   float64 `json:"young_limit"`
+	} `json:"family_info"`
+	Membership string `json:"membership_mode"`
+	Zone       int    `json:"my_zone"`
+	Ordinal    int    `json:"ordinal"`
+	Peers      int    `json:"peers_total"`
+	Plans      []struct {
+		Ceiling float64 `json:"ceiling_rate"`
+		Slack   float64 `json:"limit_slack"`
+		Most    float64 `json:"most_at_once"`
+		Rate    float64 `json:"rate"`
+		Reserve float64 `json:"reserve"`
+		Factor  float64 `json:"value_factor"`
+		Weight  float64 `json:"weight"`
+	} `json:"plans"`
+	Report struct {
+		Fields []string `json:"fields"`
+	} `json:"report"`
+	Rules struct {
+		AskWithin float64  `json:"ask_within_ms"`
+		ColdFrom  float64  `json:"cold_from"`
+		Cold      float64  `json:"cold_ms"`
+		Fall      float64  `json:"fall_ms"`
+		Grace     float64  `json:"grace_to_answer_ms"`
+		Stop      float64  `json:"stop_sending_within_ms"`
+		Multiple  float64  `json:"tip_multiple"`
+		MinExtra  float64  `json:"min_extra"`
+		Extra     *float64 `json:"extra_per_request"`
+		Span      *float64 `json:"budget_span_ms"`
+		Settle    float64  `json:"order_settle_ms"`
+	} `json:"rules"`
+	Step float64 `json:"step_ms"`
+}
+
+var kinds = map[string]honeyplank.Kind{
+	"": honeyplank.Replayable, "pure": honeyplank.Replayable,
+	"token": honeyplank.Deduplicated, "side_effect": honeyplank.OnceOnly,
+}
+
+var scopes = map[string]honeyplank.Scope{
+	"": honeyplank.ScopeAll, "all": honeyplank.ScopeAll,
+	"zone": honeyplank.ScopeZone, "cell": honeyplank.ScopeCell,
+}
+
+// values hands the settings over under our names. Lists run by op type or
+// by plan; budget.* is there only where the site states a budget.
+func (f *siteFigures) values() (map[string]any, error) {
+	var target, timeout, remember []time.Duration
+	var utility, late, stretch []float64
+	var kind []honeyplank.Kind
+	var scope []honeyplank.Scope
+	var ordered []bool
+	for i, c := range f.Classes {
+		k, ok := kinds[c.Semantics]
+		if !ok {
+			return nil, fmt.Errorf("classes[%d].semantics %q is unknown", i, c.Semantics)
+		}
+		s, ok := scopes[c.Scope]
+		if !ok {
+			return nil, fmt.Errorf("classes[%d].dedup_scope %q is unknown", i, c.Scope)
+		}
+		target, timeout = append(target, span(c.Target)), append(timeout, span(c.GiveUp))
+		remember = append(remember, span(c.Window))
+		utility, late = append(utility, c.Worth), append(late, c.LateWorth)
+		stretch = append(stretch, c.Stretch)
+		kind, scope, ordered = append(kind, k), append(scope, s), append(ordered, c.InOrder)
+	}
+	var rate, reserve, weight, value, limit, burst, slack []float64
+	for _, p := range f.Plans {
+		rate, reserve = append(rate, p.Rate), append(reserve, p.Reserve)
+		weight, value = append(weight, p.Weight), append(value, p.Factor)
+		limit, burst = append(limit, p.Ceiling), append(burst, p.Most)
+		slack = append(slack, p.Slack)
+	}
+	v := map[string]any{
+		"optypes.target_latency": target, "optypes.op_timeout": timeout,
+		"optypes.utility": utility, "optypes.late_utility": late,
+		"optypes.kind": kind, "optypes.scope": scope, "optypes.remember": remember,
+		"optypes.ordered": ordered, "optypes.stretch": stretch, "optypes.writes": f.Family.Writes,
+		"plans.rate": rate, "plans.reserve": reserve, "plans.weight": weight,
+		"plans.value": value, "plans.limit": limit, "plans.burst": burst, "plans.slack": slack,
+		"hosts": f.Peers, "ordinal": f.Ordinal, "zone": f.Zone, "step": span(f.Step),
+		"dispatches.max": f.Caps.MaxAttempts, "dispatches.parallel": f.Caps.MayDuplicate,
+		"cancel": f.Caps.Cancel, "probes": f.Caps.Probes, "peers": f.Caps.Peers,
+		"throttle.advice": f.Caps.RetryAfter, "throttle.advice.max": span(f.Caps.MaxRetryAfter),
+		"list.ask": f.Membership == "subscribe", "list.ask_within": span(f.Rules.AskWithin),
+		"drain.grace": span(f.Rules.Stop), "answer.grace": span(f.Rules.Grace),
+		"cold.from": f.Rules.ColdFrom, "cold.time": span(f.Rules.Cold),
+		"cold.window": span(f.Rules.Fall), "cold.units": f.Family.YoungLimit,
+		"cold.multiple": f.Rules.Multiple, "order.settle": span(f.Rules.Settle),
+		"units.mean": f.Family.UnitMean, "units.largest": f.Family.Largest,
+		"utility.share": f.Family.WithinShare, "utility.spare": f.Family.IdleWorth,
+		"meter.period": span(f.Family.UsePeriod), "meter.elsewhere": f.Family.CountsOthers,
+	}
+	if f.Rules.Span != nil || f.Rules.Extra != nil {
+		v["budget.free"] = f.Rules.MinExtra
+		v["budget.share"], v["budget.window"] = 0.0, time.Duration(0)
+		if f.Rules.Extra != nil {
+			v["budget.share"] = *f.Rules.Extra
+		}
+		if f.Rules.Span != nil {
+			v["budget.window"] = span(*f.Rules.Span)
+		}
+	}
+	return v, nil
+}
