--- a/policy/policy.go
+++ b/policy/policy.go
@@ -4,10 +4,8 @@
 package policy
 
 import (
-	"fmt"
 	"math"
 	"math/rand"
-	"sort"
 	"time"
 
 	"honeyplank"
@@ -15,46 +13,22 @@
 
 // Starting values of the design page; other figures are ratios to the settings.
 const (
-	avgA, avgB, avgC  = 7.0 / 8, 32, 1024 // the paper's a, b and c
-	floor, ceiling    = 4.0, 32.0         // bounds of the window
-	idle              = 30 * time.Second  // entries idle for longer are dropped
-	near, past        = 1.5, 2.0          // latency near its best, and far past it
-	sliceOfTarget     = 0.25              // a round of slices lasts this part of the shortest target latency
-	spareOfTarget     = 0.5               // latency that leaves room for ops beyond the reserve
-	sweepOfTarget     = 1.0 / 20          // how often held ops are looked at
-	blending          = 1.0 / 8           // weight of the newest answer in a recent mean
-	creditEarned      = 0.5               // of a further dispatch, for each answer
-	creditMost        = 2 * floor
-	failingTooMuch    = 0.2 // share of errors at which new objects go elsewhere
-	restGrows         = 2.0
-	bestForgets       = 1.0 / 256
-	tokenSweep        = "sweep"
-	tokenWatch        = "watch"
-	clientStoppedSlop = 2 // sweeps before the op timeout at which a held op is given up
+	avgA, avgB, avgC = 7.0 / 8, 32, 1024 // the paper's a, b and c
+	floor, ceiling   = 4.0, 32.0         // bounds of the window
+	idle             = 30 * time.Second  // entries idle for longer are dropped
+	near, past       = 1.5, 2.0          // latency near its best, and far past it
+	sliceOfTarget    = 0.25              // a round of slices lasts this part of the shortest target latency
+	spareOfTarget    = 0.5               // latency that leaves room for ops beyond the reserve
+	sweepOfTarget    = 1.0 / 20          // how often held ops are looked at
+	blending         = 1.0 / 8           // weight of the newest answer in a recent mean
+	creditEarned     = 0.5               // of a further dispatch, for each answer
+	creditMost       = 2 * floor
+	failingTooMuch   = 0.2 // share of errors at which new objects go elsewhere
+	restGrows        = 2.0
+	bestForgets      = 1.0 / 256
+	slack            = 2 // sweeps before the op timeout at which a held op is given up
 )
 
-// Scheduler is one instance. It shares nothing with others.
-type Scheduler struct {
-	set     map[string]any
-	rng     *rand.Rand
-	now     time.Duration
-	born    time.Duration
-	started bool
-	out     []honeyplank.Action
-	osds    map[honeyplank.OSDID]*osd
-	order   []*osd // by id
-	ops     map[honeyplank.OpID]*op
-	held    []*op // in the order taken; also those with no disk server
-	volumes map[int64]*volume
-	keys    map[int64]*key
-	taken   []time.Duration // ops taken, for the budget
-	extras  []time.Duration // further dispatches, for the budget
-	patient []time.Duration // by op type: the longest that a client was seen to wait
-	watched bool
-	asked   time.Duration
-	backoff time.Duration
-}
-
 // New makes an instance that knows nothing yet.
 func New(seed int64, settings map[string]any) *Scheduler {
 	return &Scheduler{
@@ -70,7 +44,7 @@
 	s.now, s.out = now, nil
 	if !s.started {
 		s.started, s.born = true, now
-		s.timer(now+s.sweepEvery(), tokenSweep)
+		s.timer(now+s.sweepEvery(), "sweep")
 		if get[bool](s.set, "list.ask") {
 			s.ask()
 		}
@@ -87,10 +61,10 @@
 			p.begun = true
 		}
 	case honeyplank.Timer:
-		if e.Name == tokenSweep {
+		if e.Name == "sweep" {
 			s.sweep()
 		}
-		if e.Name == tokenWatch && !s.watched {
+		if e.Name == "watch" && !s.watched {
 			s.ask()
 		}
 	case honeyplank.Lapsed:
@@ -101,28 +75,10 @@
 	return s.out
 }
 
-func (s *Scheduler) act(a honeyplank.Action) { s.out = append(s.out, a) }
-func (s *Scheduler) timer(at time.Duration, name string) {
-	s.act(honeyplank.SetTimer{At: at, Name: name})
-}
-func (s *Scheduler) logf(format string, arguments ...any) {
-	s.act(honeyplank.Log{Text: fmt.Sprintf(format, arguments...)})
-}
-
-// shortest and longest are the extremes of the target latencies.
-func (s *Scheduler) targets() (shortest, longest time.Duration) {
-	for i, t := range get[[]time.Duration](s.set, "optypes.target_latency") {
-		if i == 0 || t < shortest {
-			shortest = t
-		}
-		longest = max(longest, t)
-	}
-	return shortest, longest
-}
-
 func (s *Scheduler) sweepEvery() time.Duration {
 	shortest, _ := s.targets()
-	return max(time.Duration(sweepOfTarget*float64(shortest)), get[time.Duration](s.set, "step"), time.Millisecond)
+	every := time.Duration(sweepOfTarget * float64(shortest))
+	return max(every, get[time.Duration](s.set, "step"), time.Millisecond)
 }
 
 // ---- The list of disk servers ----
@@ -138,30 +94,39 @@
 		s.watched = false
 		most := get[time.Duration](s.set, "list.ask_within") / 4
 		s.backoff = min(max(2*s.backoff, most/16, s.sweepEvery()), max(most, s.sweepEvery()))
-		s.timer(s.now+s.backoff/2+time.Duration(s.rng.Int63n(int64(s.backoff/2)+1)), tokenWatch)
+		s.timer(s.now+s.backoff/2+time.Duration(s.rng.Int63n(int64(s.backoff/2)+1)), "watch")
 		return
 	case honeyplank.Changes, honeyplank.Whole:
 		s.watched, s.backoff = true, 0
 	}
-	seen := map[honeyplank.OSDID]bool{}
-	for _, m := range l.Members {
-		seen[m.OSD] = true
-		s.member(m)
+	for _, o := range s.order {
+		if l.Kind != honeyplank.Changes { // what a whole list leaves out is gone
+			o.State = honeyplank.Gone
+		}
 	}
-	if l.Kind != honeyplank.Changes {
-		for _, o := range s.order {
-			if !seen[o.OSD] {
-				o.State = honeyplank.Gone
+	for _, m := range l.Members {
+		if o := s.osds[m.OSD]; o == nil {
+			// What was sent to it before this instance started is unknown, so that counts as too much.
+			s.add(&osd{Member: m, window: floor, credit: creditMost, log: []sent{{s.born, math.Inf(1)}}})
+		} else {
+			if m.Started > o.Started {
+				s.judge(o, inBorn)
 			}
+			o.Member = m
 		}
 	}
 	for _, o := range s.order {
 		if o.State != honeyplank.On {
-			s.unhouse(o)
+			o.unhouse()
 		}
 	}
-	for _, p := range append([]*op(nil), s.held...) {
-		if p.osd == nil && s.ops[p.ID] == p {
+	s.move()
+}
+
+// move finds a place for ops that have none and sends what may leave.
+func (s *Scheduler) move() {
+	for _, p := range s.held {
+		if p.osd == nil {
 			s.house(p)
 		}
 	}
@@ -170,67 +135,18 @@
 	}
 }
 
-func (s *Scheduler) member(m honeyplank.Member) {
-	o := s.osds[m.OSD]
-	if o == nil {
-		o = &osd{Member: m, window: floor, credit: creditMost, round: 1}
-		o.log = []sent{{at: s.now, units: math.Inf(1)}} // what was sent before this start is unknown
-		s.osds[m.OSD] = o
-		s.order = append(s.order, o)
-		sort.Slice(s.order, func(i, j int) bool { return s.order[i].OSD < s.order[j].OSD })
-		if s.now > s.born {
-			o.log = nil
-		}
-		return
-	}
-	if m.Started > o.Started {
-		s.judge(o, inBorn)
-	}
-	o.Member = m
-}
-
-// unhouse takes the held ops from a disk server that takes nothing more.
-func (s *Scheduler) unhouse(o *osd) {
-	for _, q := range o.queues {
-		for _, p := range q.held {
-			p.osd, p.queue = nil, nil
-		}
-		q.held = nil
-	}
-	o.served, o.turn = nil, resting
-}
-
 // ---- Health of a disk server ----
 
-type health int
-
-const (
-	up health = iota
-	doubted
-	down
-	trial
-)
-
-func (h health) String() string { return [...]string{"up", "doubted", "down", "trial"}[h] }
-
-type finding int
-
-const (
-	inGood finding = iota // an answer, whatever it was
-	inLost                // no connection, a reset, or silence
-	inBorn                // the list tells of a new start
-	inTime                // its rest has passed
-)
-
 // healths is read by judge; a pair that is missing changes nothing.
 var healths = map[health]map[finding]struct {
 	next   health
 	effect func(*Scheduler, *osd)
 }{
-	up:      {inLost: {doubted, (*Scheduler).shrink}, inBorn: {up, (*Scheduler).chill}},
-	doubted: {inGood: {up, nil}, inLost: {down, (*Scheduler).lay}, inBorn: {up, (*Scheduler).chill}},
-	down:    {inGood: {up, (*Scheduler).raise}, inTime: {trial, nil}, inBorn: {up, (*Scheduler).chill}},
-	trial:   {inGood: {up, (*Scheduler).raise}, inLost: {down, (*Scheduler).lay}, inBorn: {up, (*Scheduler).chill}},
+	up:      {inLost: {doubted, (*Scheduler).narrow}, inBorn: {up, (*Scheduler).narrow}},
+	doubted: {inGood: {up, nil}, inLost: {down, (*Scheduler).lay}, inBorn: {up, (*Scheduler).narrow}},
+	down:    {inGood: {up, (*Scheduler).narrow}, inTime: {trial, nil}, inBorn: {up, (*Scheduler).narrow}},
+	trial: {inGood: {up, (*Scheduler).narrow}, inLost: {down, (*Scheduler).lay},
+		inBorn: {up, (*Scheduler).narrow}},
 }
 
 func (s *Scheduler) judge(o *osd, in finding) {
@@ -247,11 +163,7 @@
 	}
 }
 
-func (s *Scheduler) shrink(o *osd) { o.window = floor }
-
-func (s *Scheduler) chill(o *osd) { o.window, o.rest = floor, 0 }
-
-func (s *Scheduler) raise(o *osd) { o.window, o.rest = floor, 0 }
+func (s *Scheduler) narrow(o *osd) { o.window, o.rest = floor, 0 }
 
 // lay leaves a disk server alone, longer each time, up to the longest target latency.
 func (s *Scheduler) lay(o *osd) {
@@ -266,53 +178,34 @@
 		return
 	}
 	s.taken = append(s.taken, s.now)
-	p := &op{Op: e}
 	// A client's next try brings less time than a first one; its target latency runs from the first.
-	left := e.Timeout - s.now
-	waited := time.Duration(0)
+	left, waited := e.Timeout-s.now, time.Duration(0)
 	if e.Type >= 0 && e.Type < len(s.patient) {
 		s.patient[e.Type] = max(s.patient[e.Type], left)
 		waited = s.patient[e.Type] - left
 	}
-	p.aim = s.now + pick[time.Duration](s.set, "optypes.target_latency", e.Type) - waited
+	p := &op{Op: e, aim: s.now + pick[time.Duration](s.set, "optypes.target_latency", e.Type) - waited}
 	s.ops[e.ID] = p
 	if e.Keyed && pick[bool](s.set, "optypes.ordered", e.Type) {
-		k := s.keys[e.Key]
-		if k == nil {
-			k = &key{}
-			s.keys[e.Key] = k
-		}
-		k.ops = append(k.ops, p)
-		p.key = k
+		s.line(p)
 	}
-	v := s.volume(e)
-	v.lastSeen = s.now
-	s.held = append(s.held, p)
-	s.house(p)
-	if p.queue != nil {
-		if p.queue.arrived >= 0 {
-			p.queue.thinkt.add(s.now-p.queue.arrived, avgA, avgB)
-		}
-		p.queue.arrived = s.now
-		s.pump(p.osd)
-	}
-	if s.ops[e.ID] == p && !p.busy() && s.useless(p) {
-		s.answer(p)
-	}
-}
-
-func (s *Scheduler) volume(e honeyplank.Op) *volume {
 	v := s.volumes[e.Volume]
 	if v == nil {
-		v = &volume{id: e.Volume, plan: e.Plan, filled: s.now, ownAt: s.now}
-		v.reserve = math.Inf(1)
+		v = &volume{plan: e.Plan, filled: s.now, ownAt: s.now, reserve: math.Inf(1)}
 		s.volumes[e.Volume] = v
 	}
-	v.hosts = e.Hosts
-	if v.hosts < 1 {
+	if v.hosts, v.lastSeen = e.Hosts, s.now; v.hosts < 1 {
 		v.hosts = max(get[int](s.set, "hosts"), 1)
 	}
-	return v
+	s.held = append(s.held, p)
+	s.house(p)
+	if q := p.queue; q != nil {
+		q.thinkt.gap(s.now, avgA, avgB)
+		s.pump(p.osd)
+	}
+	if !p.over && !p.busy() && s.useless(p) {
+		s.answer(p)
+	}
 }
 
 // house puts a held op into a queue: at the holder of its data, or for a new object at the first disk
@@ -356,27 +249,6 @@
 
 // ---- Slices (iShare) ----
 
-type turn int
-
-const (
-	resting turn = iota // no volume is served
-	serving
-	waiting // for the next op of the served volume
-)
-
-type sight int
-
-const (
-	seeNothing sight = iota // nothing can leave now
-	seeOthers               // only volumes that are not served have an op that can leave
-	seeOwn                  // the served volume has one
-	seeDue                  // only beyond its reserve, while another's is within
-	seeSpent                // the slice is over, another has one
-	seeLong                 // it has none, and thinkt reaches past its slice
-	seeCheap                // it has none, and another that completes faster has one
-	seeLull                 // it has none, and waiting is worth while
-)
-
 // turns is read by pump; a pair that is missing ends the pump.
 var turns = map[turn]map[sight]struct {
 	next   turn
@@ -417,7 +289,7 @@
 	if o.State != honeyplank.On {
 		return seeNothing
 	}
-	other := s.next(o, true)
+	other := s.next(o)
 	if o.turn == resting {
 		if other == nil {
 			return seeNothing
@@ -434,7 +306,7 @@
 		return seeSpent
 	case own != nil:
 		return seeOwn
-	case o.served.thinkt.sum == 0 || s.thinkt(o.served) >= o.until-s.now:
+	case o.served.thinkt.value(avgC) >= o.until-s.now:
 		return seeLong
 	case s.cheaper(o) != nil:
 		return seeCheap
@@ -444,54 +316,25 @@
 	return seeLull
 }
 
-func (s *Scheduler) thinkt(q *queue) time.Duration {
-	return time.Duration((q.thinkt.total + avgC) / q.thinkt.sum * float64(time.Millisecond))
-}
-
-func await(q *queue) float64 {
-	if q.await.sum == 0 {
-		return math.Inf(1)
-	}
-	return (q.await.total + avgC) / q.await.sum
-}
-
 // cheaper is the paper's await test; the node's mean await stands for the longest seek.
 func (s *Scheduler) cheaper(o *osd) *queue {
-	sum, n := 0.0, 0.0
-	for _, q := range o.queues {
-		if a := await(q); !math.IsInf(a, 1) {
-			sum, n = sum+a, n+1
-		}
-	}
-	for _, q := range s.ring(o) {
-		a := await(q)
-		if q != o.served && q.round < o.round && a <= await(o.served) && a*n < sum && s.choose(o, q) != nil {
+	limit, own := o.meanAwait(avgC), o.served.await.value(avgC)
+	for _, q := range o.ring() {
+		a := q.await.value(avgC)
+		if q != o.served && q.round < o.round && a <= own && a < limit && s.choose(o, q) != nil {
 			return q
 		}
 	}
 	return nil
 }
 
-// ring lists the queues from the one after the served on.
-func (s *Scheduler) ring(o *osd) []*queue {
-	for i, q := range o.queues {
-		if q == o.served {
-			return append(append([]*queue(nil), o.queues[i+1:]...), o.queues[:i+1]...)
-		}
-	}
-	return o.queues
-}
-
 // next is the volume whose slice comes next: one not served this round, with ops inside its reserve first.
-func (s *Scheduler) next(o *osd, others bool) *queue {
+func (s *Scheduler) next(o *osd) *queue {
 	var found *queue
-	least := 4
-	for _, q := range s.ring(o) {
-		if others && q == o.served {
-			continue
-		}
+	least := math.MaxInt
+	for _, q := range o.ring() {
 		p := s.choose(o, q)
-		if p == nil {
+		if q == o.served || p == nil {
 			continue
 		}
 		class := 0
@@ -509,7 +352,7 @@
 }
 
 func (s *Scheduler) begin(o *osd) {
-	q := s.next(o, true)
+	q := s.next(o)
 	if q.round >= o.round {
 		o.round++
 	}
@@ -520,24 +363,14 @@
 
 // serve starts a slice: the volumes with held ops share a round of a part of the shortest target latency.
 func (s *Scheduler) serve(o *osd, q *queue) {
-	weights, busy := get[[]float64](s.set, "plans.weight"), 0
-	mean := 0.0
-	for _, w := range weights {
-		mean += w / float64(len(weights))
-	}
-	share := 1.0
-	if w := pick[float64](s.set, "plans.weight", q.volume.plan); mean > 0 && w > 0 {
-		share = w / mean
-	}
-	for _, other := range o.queues {
-		if len(other.held) > 0 {
-			busy++
-		}
+	mean := mean(get[[]float64](s.set, "plans.weight"))
+	share := pick[float64](s.set, "plans.weight", q.volume.plan)
+	if share <= 0 || mean <= 0 {
+		share, mean = 1, 1
 	}
 	shortest, _ := s.targets()
-	slice := share * sliceOfTarget * float64(shortest) / float64(max(busy, 1))
-	o.served, q.round = q, o.round
-	o.until = s.now + time.Duration(slice)
+	slice := share / mean * sliceOfTarget * float64(shortest) / float64(max(o.busy(), 1))
+	o.served, q.round, o.until = q, o.round, s.now+time.Duration(slice)
 }
 
 func (s *Scheduler) end(o *osd) { o.served = nil }
@@ -546,18 +379,18 @@
 
 // lull begins the wait; what it leaves of the window goes to others at once.
 func (s *Scheduler) lull(o *osd) {
-	o.waits = min(s.now+s.thinkt(o.served), o.until)
+	o.waits = min(s.now+o.served.thinkt.value(avgC), o.until)
 	s.fill(o)
 }
 
-func (s *Scheduler) fill(o *osd) { s.send(s.choose(o, s.next(o, true)), o) }
+func (s *Scheduler) fill(o *osd) { s.send(s.choose(o, s.next(o)), o) }
 
 // choose picks the op of a volume that leaves next: a further dispatch, then the run under way, then the
 // one whose target latency is over first. It returns nil where none may leave now.
 func (s *Scheduler) choose(o *osd, q *queue) *op {
 	var found *op
 	for _, p := range q.held {
-		if !s.before(o, p, found) || !s.room(o, p) || !s.mayDispatch(p, o) {
+		if !before(o, p, found) || !s.room(o, p) || !s.mayDispatch(p, o) {
 			continue
 		}
 		found = p
@@ -565,15 +398,12 @@
 	return found
 }
 
-func (s *Scheduler) before(o *osd, p, than *op) bool {
-	if than == nil {
-		return true
+func before(o *osd, p, than *op) bool {
+	if than == nil || p.early != than.early {
+		return than == nil || p.early
 	}
-	if p.early != than.early {
-		return p.early
-	}
-	if a, b := p.Keyed && p.Key == o.lastKey, than.Keyed && than.Key == o.lastKey; a != b {
-		return a
+	if run := p.Keyed && p.Key == o.lastKey; run != (than.Keyed && than.Key == o.lastKey) {
+		return run
 	}
 	return p.aim < than.aim
 }
@@ -604,7 +434,8 @@
 	v.filled = s.now
 	reserve, limit := pick[float64](s.set, "plans.reserve", v.plan), pick[float64](s.set, "plans.limit", v.plan)
 	hosts := float64(v.hosts)
-	v.reserve = min(v.reserve+gap*max(reserve/hosts, reserve-v.others), reserve+get[float64](s.set, "units.largest"))
+	v.reserve += gap * max(reserve/hosts, reserve-v.others)
+	v.reserve = min(v.reserve, reserve+get[float64](s.set, "units.largest"))
 	v.limit = min(v.limit+gap*limit/hosts, pick[float64](s.set, "plans.burst", v.plan)/hosts)
 }
 
@@ -618,7 +449,8 @@
 
 // mayDispatch holds an op to the rules: attempts, kind, drains, cold starts, order, budget and limit.
 func (s *Scheduler) mayDispatch(p *op, o *osd) bool {
-	if p.begun || o.State != honeyplank.On || p.Timeout <= s.now || p.Cell != honeyplank.NewObject && p.Cell != o.Cell {
+	home := p.Cell == honeyplank.NewObject || p.Cell == o.Cell
+	if p.begun || !home || o.State != honeyplank.On || p.Timeout <= s.now {
 		return false
 	}
 	n := len(p.sends)
@@ -650,7 +482,10 @@
 				return false
 			}
 			scope := pick[honeyplank.Scope](s.set, "optypes.scope", p.Type)
-			if scope == honeyplank.ScopeZone && d.osd.Zone != o.Zone || scope == honeyplank.ScopeCell && d.osd.Cell != o.Cell {
+			if scope == honeyplank.ScopeZone && d.osd.Zone != o.Zone {
+				return false
+			}
+			if scope == honeyplank.ScopeCell && d.osd.Cell != o.Cell {
 				return false
 			}
 		}
@@ -726,45 +561,27 @@
 		v.limit -= p.Units
 	}
 	v.reserve = max(v.reserve-p.Units, 0)
-	if p.queue != nil {
-		p.queue.drop(p)
-	}
-	s.held = without(s.held, p)
-	p.queue, p.osd, p.early = nil, o, false
-	p.sends = append(p.sends, send{osd: o, at: s.now})
 	if o.out == 0 || o.health == trial {
 		o.oldest = s.now
 	}
-	o.out++
-	o.log = append(o.log, sent{s.now, p.Units})
-	if p.Keyed {
-		o.lastKey = p.Key
-	}
+	s.book(p, o)
 	s.act(honeyplank.Dispatch{Op: p.ID, OSD: o.OSD})
 }
 
-func (p *op) busy() bool {
-	for _, d := range p.sends {
-		if !d.done {
-			return true
-		}
-	}
-	return false
-}
-
-// outcomes tells what each way to end means: whether it may have run, and what it says of the disk server.
+// outcomes tells what each end of a dispatch means: whether it may have run, whether it may be running
+// still, and what it says of the disk server.
 var outcomes = map[honeyplank.Code]struct {
-	maybe, answered, lost bool
-	effect                func(*Scheduler, *osd, honeyplank.Outcome)
+	maybe, runs, answered, lost bool
+	effect                      func(*Scheduler, *osd, honeyplank.Outcome)
 }{
-	honeyplank.Acked:       {true, true, false, (*Scheduler).measure},
-	honeyplank.Errored:     {true, true, false, (*Scheduler).blame},
-	honeyplank.Full:        {false, true, false, (*Scheduler).crowded},
-	honeyplank.TimedOut:    {true, false, false, nil},
-	honeyplank.Unconnected: {false, false, true, nil},
-	honeyplank.Reset:       {true, false, true, nil},
-	honeyplank.Cancelled:   {true, false, false, nil},
-	honeyplank.Moot:        {false, false, false, nil},
+	honeyplank.Acked:       {maybe: true, answered: true, effect: (*Scheduler).measure},
+	honeyplank.Errored:     {maybe: true, answered: true, effect: (*Scheduler).blame},
+	honeyplank.Full:        {answered: true, effect: (*Scheduler).crowded},
+	honeyplank.TimedOut:    {maybe: true, runs: true},
+	honeyplank.Unconnected: {lost: true},
+	honeyplank.Reset:       {maybe: true, runs: true, lost: true},
+	honeyplank.Cancelled:   {maybe: true, runs: true},
+	honeyplank.Moot:        {},
 }
 
 func (s *Scheduler) outcome(e honeyplank.Outcome) {
@@ -784,32 +601,25 @@
 	if way.effect != nil {
 		way.effect(s, o, e)
 	}
-	if p != nil {
-		s.closing(p, e, way.maybe)
-		if !p.over && e.Done {
-			s.forget(p)
-		} else if !p.over && !p.busy() && p.queue == nil {
-			s.again(p, o)
-		}
-		if p.key != nil && len(p.key.ops) > 0 && p.key.ops[0].queue != nil {
-			s.pump(p.key.ops[0].osd)
-		}
-	}
-	s.pump(o)
-}
-
-// closing books the end of a dispatch, also one whose op is over.
-func (s *Scheduler) closing(p *op, e honeyplank.Outcome, maybe bool) {
-	if e.Dispatch < 0 || e.Dispatch >= len(p.sends) || p.sends[e.Dispatch].done {
+	if p == nil {
+		s.pump(o)
 		return
 	}
-	p.sends[e.Dispatch].done, p.sends[e.Dispatch].maybe = true, maybe
-	if k := p.key; k != nil && (e.Code == honeyplank.TimedOut || e.Code == honeyplank.Reset || e.Code == honeyplank.Cancelled) {
+	p.close(e.Dispatch, way.maybe)
+	if k := p.key; k != nil && way.runs {
 		k.rest, k.restBy = s.now+get[time.Duration](s.set, "order.settle"), p.ID
 	}
 	if p.over {
 		s.finish(p)
+	} else if e.Done {
+		s.forget(p)
+	} else if !p.busy() && p.queue == nil {
+		s.again(p, o)
+	}
+	if k := p.key; k != nil && len(k.ops) > 0 && k.ops[0].queue != nil {
+		s.pump(k.ops[0].osd)
 	}
+	s.pump(o)
 }
 
 // again holds an op once more after a dispatch that brought no answer, or gives it up.
@@ -829,7 +639,7 @@
 // useless tells whether a held op can no longer earn its utility: its target latency would be over before
 // an answer of the usual time there, or the client is about to give up.
 func (s *Scheduler) useless(p *op) bool {
-	if s.now+clientStoppedSlop*s.sweepEvery() >= p.Timeout {
+	if s.now+slack*s.sweepEvery() >= p.Timeout {
 		return true
 	}
 	if p.osd == nil {
@@ -853,27 +663,6 @@
 	s.forget(p)
 }
 
-// forget ends an op; its record stays while a dispatch has no outcome, since its key must wait for that.
-func (s *Scheduler) forget(p *op) {
-	if p.queue != nil {
-		p.queue.drop(p)
-		p.queue = nil
-	}
-	s.held = without(s.held, p)
-	p.over = true
-	s.finish(p)
-}
-
-func (s *Scheduler) finish(p *op) {
-	if p.busy() {
-		return
-	}
-	delete(s.ops, p.ID)
-	if p.key != nil {
-		p.key.ops = without(p.key.ops, p)
-	}
-}
-
 // ---- What answers tell ----
 
 func (s *Scheduler) measure(o *osd, e honeyplank.Outcome) {
@@ -883,37 +672,25 @@
 	if p == nil {
 		return
 	}
-	blend := func(mean *float64, x float64) {
-		if *mean == 0 {
-			*mean = x
-		}
-		*mean += blending * (x - *mean)
-	}
-	blend(&o.latency, e.Elapsed.Seconds())
-	blend(&o.perUnit, e.Elapsed.Seconds()/max(p.Units, 1))
+	o.latency = blend(o.latency, e.Elapsed.Seconds(), blending)
+	o.perUnit = blend(o.perUnit, e.Elapsed.Seconds()/max(p.Units, 1), blending)
 	if o.best == 0 || o.perUnit < o.best {
 		o.best = o.perUnit
 	}
 	o.best += bestForgets * (o.perUnit - o.best)
 	o.answers++
-	switch {
-	case o.perUnit > past*o.best:
-		if !o.spell {
-			o.window = max(floor, o.window/2)
-		}
-		o.spell, o.answers = true, 0
-	case o.perUnit < near*o.best && o.answers >= o.window:
+	spell := o.perUnit > past*o.best
+	if spell && !o.spell {
+		s.crowded(o, e)
+	} else if o.perUnit < near*o.best && o.answers >= o.window {
 		o.window, o.answers = min(ceiling, o.window+1), 0
-		o.spell = false
-	default:
-		o.spell = false
 	}
-	q := o.queueOf(s.volumes[p.Volume])
-	if q.ended >= 0 {
-		q.await.add(s.now-q.ended, avgA, avgB)
-	}
-	q.ended, q.lastSeen = s.now, s.now
-	s.used(s.volumes[p.Volume], p, e)
+	o.spell = spell
+	v := s.volumes[p.Volume]
+	q := o.queueOf(v)
+	q.await.gap(s.now, avgA, avgB)
+	q.lastSeen = s.now
+	s.used(v, p, e)
 }
 
 // used keeps what others serve for a volume: all that was served less what went through this host.
@@ -937,7 +714,7 @@
 // ---- The sweep ----
 
 func (s *Scheduler) sweep() {
-	s.timer(s.now+s.sweepEvery(), tokenSweep)
+	s.timer(s.now+s.sweepEvery(), "sweep")
 	_, longest := s.targets()
 	for _, o := range s.order {
 		if o.out > 0 && s.now-o.oldest > longest/2 {
@@ -948,44 +725,15 @@
 			s.judge(o, inTime)
 		}
 	}
-	for _, p := range append([]*op(nil), s.held...) {
-		if p.osd == nil {
-			s.house(p)
-		}
-	}
-	for _, o := range s.order {
-		s.pump(o)
-	}
+	s.move()
 	for _, p := range append([]*op(nil), s.held...) {
 		if s.useless(p) {
 			s.answer(p)
 		}
 	}
-	if get[bool](s.set, "list.ask") && !s.watched && s.now-s.asked > get[time.Duration](s.set, "list.ask_within")/2 {
+	late := s.now-s.asked > get[time.Duration](s.set, "list.ask_within")/2
+	if late && !s.watched && get[bool](s.set, "list.ask") {
 		s.ask()
 	}
-	s.tidy()
-}
-
-// tidy drops entries that have been idle for long.
-func (s *Scheduler) tidy() {
-	for _, o := range s.order {
-		kept := o.queues[:0]
-		for _, q := range o.queues {
-			if len(q.held) > 0 || q == o.served || s.now-q.lastSeen < idle {
-				kept = append(kept, q)
-			}
-		}
-		o.queues = kept
-	}
-	for id, v := range s.volumes {
-		if s.now-v.lastSeen >= idle {
-			delete(s.volumes, id)
-		}
-	}
-	for id, k := range s.keys {
-		if len(k.ops) == 0 && s.now >= k.rest {
-			delete(s.keys, id)
-		}
-	}
+	s.tidy(idle)
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,7 +1,10 @@
 package policy
 
 import (
+	"fmt"
 	"hash/fnv"
+	"math"
+	"math/rand"
 	"sort"
 	"strconv"
 	"time"
@@ -48,8 +51,6 @@
 	volume   *volume
 	await    average // completion gaps
 	thinkt   average // arrival gaps
-	ended    time.Duration
-	arrived  time.Duration
 	held     []*op
 	round    int // the round in which it was last served
 	lastSeen time.Duration
@@ -98,11 +99,42 @@
 }
 
 // average is the paper's decayed mean: (total+c)/sum.
-type average struct{ total, sum float64 }
+type average struct {
+	total, sum float64
+	last       time.Duration
+	seen       bool
+}
+
+// gap takes in the time since the last event; the first one only starts the count.
+func (m *average) gap(now time.Duration, a, b float64) {
+	if m.seen {
+		m.total = a*m.total + b*float64(now-m.last)/float64(time.Millisecond)
+		m.sum = a*m.sum + b
+	}
+	m.last, m.seen = now, true
+}
 
-func (m *average) add(gap time.Duration, a, b float64) {
-	m.total = a*m.total + b*float64(gap)/float64(time.Millisecond)
-	m.sum = a*m.sum + b
+// value is the mean gap, without end while nothing has been seen.
+func (m *average) value(c float64) time.Duration {
+	if m.sum == 0 {
+		return math.MaxInt64
+	}
+	return time.Duration((m.total + c) / m.sum * float64(time.Millisecond))
+}
+
+// blend moves a mean towards a new value, which is the mean while there is none.
+func blend(mean, x, weight float64) float64 {
+	if mean == 0 {
+		return x
+	}
+	return mean + weight*(x-mean)
+}
+
+func mean(list []float64) (m float64) {
+	for _, x := range list {
+		m += x / float64(len(list))
+	}
+	return m
 }
 
 // get returns a setting by its name, or the type's zero value.
@@ -146,7 +178,7 @@
 			return q
 		}
 	}
-	q := &queue{volume: v, round: -1, arrived: -1, ended: -1}
+	q := &queue{volume: v, round: -1}
 	o.queues = append(o.queues, q)
 	return q
 }
@@ -177,3 +209,222 @@
 	i := sort.Search(len(log), func(i int) bool { return log[i] >= from })
 	return log[i:]
 }
+
+// Scheduler is one instance. It shares nothing with others.
+type Scheduler struct {
+	set     map[string]any
+	rng     *rand.Rand
+	now     time.Duration
+	born    time.Duration
+	started bool
+	out     []honeyplank.Action
+	osds    map[honeyplank.OSDID]*osd
+	order   []*osd // by id
+	ops     map[honeyplank.OpID]*op
+	held    []*op // in the order taken; also those with no disk server
+	volumes map[int64]*volume
+	keys    map[int64]*key
+	taken   []time.Duration // ops taken, for the budget
+	extras  []time.Duration // further dispatches, for the budget
+	patient []time.Duration // by op type: the longest that a client was seen to wait
+	watched bool
+	asked   time.Duration
+	backoff time.Duration
+}
+
+func (s *Scheduler) act(a honeyplank.Action) { s.out = append(s.out, a) }
+
+func (s *Scheduler) timer(at time.Duration, name string) {
+	s.act(honeyplank.SetTimer{At: at, Name: name})
+}
+
+func (s *Scheduler) logf(format string, arguments ...any) {
+	s.act(honeyplank.Log{Text: fmt.Sprintf(format, arguments...)})
+}
+
+// shortest and longest are the extremes of the target latencies.
+func (s *Scheduler) targets() (shortest, longest time.Duration) {
+	for i, t := range get[[]time.Duration](s.set, "optypes.target_latency") {
+		if i == 0 || t < shortest {
+			shortest = t
+		}
+		longest = max(longest, t)
+	}
+	return shortest, longest
+}
+
+type health int
+
+const (
+	up health = iota
+	doubted
+	down
+	trial
+)
+
+func (h health) String() string { return [...]string{"up", "doubted", "down", "trial"}[h] }
+
+type finding int
+
+const (
+	inGood finding = iota // an answer, whatever it was
+	inLost                // no connection, a reset, or silence
+	inBorn                // the list tells of a new start
+	inTime                // its rest has passed
+)
+
+type turn int
+
+const (
+	resting turn = iota // no volume is served
+	serving
+	waiting // for the next op of the served volume
+)
+
+type sight int
+
+const (
+	seeNothing sight = iota // nothing can leave now
+	seeOthers               // only volumes that are not served have an op that can leave
+	seeOwn                  // the served volume has one
+	seeDue                  // only beyond its reserve, while another's is within
+	seeSpent                // the slice is over, another has one
+	seeLong                 // it has none, and thinkt reaches past its slice
+	seeCheap                // it has none, and another that completes faster has one
+	seeLull                 // it has none, and waiting is worth while
+)
+
+func (p *op) busy() bool {
+	for _, d := range p.sends {
+		if !d.done {
+			return true
+		}
+	}
+	return false
+}
+
+// forget ends an op; its record stays while a dispatch has no outcome, since its key must wait for that.
+func (s *Scheduler) forget(p *op) {
+	if p.queue != nil {
+		p.queue.drop(p)
+		p.queue = nil
+	}
+	s.held = without(s.held, p)
+	p.over = true
+	s.finish(p)
+}
+
+func (s *Scheduler) finish(p *op) {
+	if p.busy() {
+		return
+	}
+	delete(s.ops, p.ID)
+	if p.key != nil {
+		p.key.ops = without(p.key.ops, p)
+	}
+}
+
+// tidy drops entries that have been idle for long.
+func (s *Scheduler) tidy(idle time.Duration) {
+	for _, o := range s.order {
+		kept := o.queues[:0]
+		for _, q := range o.queues {
+			if len(q.held) > 0 || q == o.served || s.now-q.lastSeen < idle {
+				kept = append(kept, q)
+			}
+		}
+		o.queues = kept
+	}
+	for id, v := range s.volumes {
+		if s.now-v.lastSeen >= idle {
+			delete(s.volumes, id)
+		}
+	}
+	for id, k := range s.keys {
+		if len(k.ops) == 0 && s.now >= k.rest {
+			delete(s.keys, id)
+		}
+	}
+}
+
+// unhouse takes the held ops from a disk server that takes nothing more.
+func (o *osd) unhouse() {
+	for _, q := range o.queues {
+		for _, p := range q.held {
+			p.osd, p.queue = nil, nil
+		}
+		q.held = nil
+	}
+	o.served, o.turn = nil, resting
+}
+
+// ring lists the queues from the one after the served on.
+func (o *osd) ring() []*queue {
+	for i, q := range o.queues {
+		if q == o.served {
+			return append(append([]*queue(nil), o.queues[i+1:]...), o.queues[:i+1]...)
+		}
+	}
+	return o.queues
+}
+
+// meanAwait is the mean over the volumes whose await is known.
+func (o *osd) meanAwait(c float64) time.Duration {
+	var sum, n time.Duration
+	for _, q := range o.queues {
+		if q.await.sum > 0 {
+			sum, n = sum+q.await.value(c), n+1
+		}
+	}
+	return sum / max(n, 1)
+}
+
+// busy counts the volumes with held ops.
+func (o *osd) busy() (n int) {
+	for _, q := range o.queues {
+		if len(q.held) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// add takes up the record of a disk server.
+func (s *Scheduler) add(o *osd) {
+	s.osds[o.OSD] = o
+	s.order = append(s.order, o)
+	sort.Slice(s.order, func(i, j int) bool { return s.order[i].OSD < s.order[j].OSD })
+}
+
+// line puts an op at the end of its key's line.
+func (s *Scheduler) line(p *op) {
+	k := s.keys[p.Key]
+	if k == nil {
+		k = &key{}
+		s.keys[p.Key] = k
+	}
+	k.ops = append(k.ops, p)
+	p.key = k
+}
+
+// book notes that an op goes out to a disk server.
+func (s *Scheduler) book(p *op, o *osd) {
+	if p.queue != nil {
+		p.queue.drop(p)
+	}
+	s.held = without(s.held, p)
+	p.queue, p.osd, p.early = nil, o, false
+	p.sends = append(p.sends, send{osd: o, at: s.now})
+	o.out++
+	o.log = append(o.log, sent{s.now, p.Units})
+	if p.Keyed {
+		o.lastKey = p.Key
+	}
+}
+
+// close notes how a dispatch ended.
+func (p *op) close(n int, maybe bool) {
+	if n >= 0 && n < len(p.sends) {
+		p.sends[n].done, p.sends[n].maybe = true, maybe
+	}
+}
