--- a/policy/policy.go
+++ b/policy/policy.go
@@ -565,7 +565,7 @@
 		o.oldest = s.now
 	}
 	s.book(p, o)
-	s.act(honeyplank.Dispatch{Op: p.ID, OSD: o.OSD, After: max(p.aim-s.now, 0)})
+	s.act(honeyplank.Dispatch{Op: p.ID, OSD: o.OSD})
 }
 
 // outcomes tells what each end of a dispatch means: whether it may have run, whether it may be running
