--- a/policy/policy.go
+++ b/policy/policy.go
@@ -18,7 +18,8 @@
 	idle             = 30 * time.Second  // entries idle for longer are dropped
 	near, past       = 1.5, 2.0          // latency near its best, and far past it
 	sliceOfTarget    = 0.25              // a round of slices lasts this part of the shortest target latency
-	spareOfTarget    = 0.125               // latency that leaves room for ops beyond the reserve
+	spareOfTarget    = 0.125             // latency that leaves room for ops beyond the reserve
+	dueOfTarget      = 0.5               // the same for ops within the reserve
 	sweepOfTarget    = 1.0 / 20          // how often held ops are looked at
 	blending         = 1.0 / 8           // weight of the newest answer in a recent mean
 	creditEarned     = 0.5               // of a further dispatch, for each answer
@@ -417,10 +418,12 @@
 	case trial:
 		return o.out == 0 || s.now-o.oldest > o.rest
 	}
-	window := o.window
-	if !s.due(p) && o.latency > 0 {
-		shortest, _ := s.targets()
-		window *= min(1, spareOfTarget*shortest.Seconds()/o.latency)
+	window, part := o.window, dueOfTarget
+	if !s.due(p) {
+		part = spareOfTarget
+	}
+	if shortest, _ := s.targets(); o.latency > 0 {
+		window *= min(1, part*shortest.Seconds()/o.latency)
 	}
 	return o.out == 0 || float64(o.out) < window
 }
