--- a/policy/policy.go
+++ b/policy/policy.go
@@ -6,6 +6,7 @@
 import (
 	"math"
 	"math/rand"
+	"slices"
 	"time"
 
 	"honeyplank"
@@ -19,7 +20,7 @@
 	near, past       = 1.5, 2.0          // latency near its best, and far past it
 	sliceOfTarget    = 0.25              // a round of slices lasts this part of the shortest target latency
 	spareOfTarget    = 0.125             // latency that leaves room for ops beyond the reserve
-	dueOfTarget      = 0.25               // the same for ops within the reserve
+	dueOfTarget      = 0.25              // the same for ops within the reserve
 	sweepOfTarget    = 1.0 / 20          // how often held ops are looked at
 	blending         = 1.0 / 8           // weight of the newest answer in a recent mean
 	creditEarned     = 0.5               // of a further dispatch, for each answer
@@ -155,8 +156,8 @@
 	if !ok {
 		return
 	}
-	if o.health != rule.next {
-		s.logf("osd %s %s -> %s", o.OSD, o.health, rule.next)
+	if o.health != rule.next && (o.health == down || rule.next == down) {
+		s.logf("osd %s: %s, was %s", o.OSD, rule.next, o.health)
 	}
 	o.health, o.since = rule.next, s.now
 	if rule.effect != nil {
@@ -445,7 +446,10 @@
 func (s *Scheduler) due(p *op) bool {
 	v := s.volumes[p.Volume]
 	s.fillUp(v)
-	return v.reserve >= p.Units && p.aim > s.now
+	// Part of the store is kept for op types of more utility.
+	most := slices.Max(get[[]float64](s.set, "optypes.utility"))
+	kept := 1 - pick[float64](s.set, "optypes.utility", p.Type)/most
+	return v.reserve >= p.Units+kept*pick[float64](s.set, "plans.reserve", v.plan) && p.aim > s.now
 }
 
 // ---- Rules ----
