--- a/policy/policy.go
+++ b/policy/policy.go
@@ -6,7 +6,6 @@
 import (
 	"math"
 	"math/rand"
-	"slices"
 	"time"
 
 	"honeyplank"
@@ -187,6 +186,7 @@
 		waited = s.patient[e.Type] - left
 	}
 	p := &op{Op: e, aim: s.now + pick[time.Duration](s.set, "optypes.target_latency", e.Type) - waited}
+	p.worth = pick[float64](s.set, "optypes.utility", e.Type)
 	s.ops[e.ID] = p
 	if e.Keyed && pick[bool](s.set, "optypes.ordered", e.Type) {
 		s.line(p)
@@ -407,6 +407,9 @@
 	if run := p.Keyed && p.Key == o.lastKey; run != (than.Keyed && than.Key == o.lastKey) {
 		return run
 	}
+	if p.worth != than.worth {
+		return p.worth > than.worth
+	}
 	return p.aim < than.aim
 }
 
@@ -446,10 +449,7 @@
 func (s *Scheduler) due(p *op) bool {
 	v := s.volumes[p.Volume]
 	s.fillUp(v)
-	// Part of the store is kept for op types of more utility.
-	most := slices.Max(get[[]float64](s.set, "optypes.utility"))
-	kept := 1 - pick[float64](s.set, "optypes.utility", p.Type)/most
-	return v.reserve >= p.Units+kept*pick[float64](s.set, "plans.reserve", v.plan) && p.aim > s.now
+	return v.reserve >= p.Units && p.aim > s.now
 }
 
 // ---- Rules ----
