--- a/policy/policy.go
+++ b/policy/policy.go
@@ -6,6 +6,7 @@
 import (
 	"math"
 	"math/rand"
+	"slices"
 	"time"
 
 	"honeyplank"
@@ -22,7 +23,7 @@
 	dueOfTarget      = 0.25              // the same for ops within the reserve
 	sweepOfTarget    = 1.0 / 20          // how often held ops are looked at
 	blending         = 1.0 / 8           // weight of the newest answer in a recent mean
-	creditEarned     = 0.5               // of a further dispatch, for each answer
+	creditEarned     = 2.0               // of a further dispatch, for each answer
 	creditMost       = 2 * floor
 	failingTooMuch   = 0.2 // share of errors at which new objects go elsewhere
 	restGrows        = 2.0
@@ -186,7 +187,6 @@
 		waited = s.patient[e.Type] - left
 	}
 	p := &op{Op: e, aim: s.now + pick[time.Duration](s.set, "optypes.target_latency", e.Type) - waited}
-	p.worth = pick[float64](s.set, "optypes.utility", e.Type)
 	s.ops[e.ID] = p
 	if e.Keyed && pick[bool](s.set, "optypes.ordered", e.Type) {
 		s.line(p)
@@ -407,9 +407,6 @@
 	if run := p.Keyed && p.Key == o.lastKey; run != (than.Keyed && than.Key == o.lastKey) {
 		return run
 	}
-	if p.worth != than.worth {
-		return p.worth > than.worth
-	}
 	return p.aim < than.aim
 }
 
@@ -449,7 +446,10 @@
 func (s *Scheduler) due(p *op) bool {
 	v := s.volumes[p.Volume]
 	s.fillUp(v)
-	return v.reserve >= p.Units && p.aim > s.now
+	// Part of the store is kept for op types of more utility.
+	most := slices.Max(get[[]float64](s.set, "optypes.utility"))
+	kept := 1 - pick[float64](s.set, "optypes.utility", p.Type)/most
+	return v.reserve >= p.Units+kept*pick[float64](s.set, "plans.reserve", v.plan) && p.aim > s.now
 }
 
 // ---- Rules ----
--- a/policy/state.go
+++ b/policy/state.go
@@ -74,7 +74,6 @@
 type op struct {
 	honeyplank.Op
 	aim   time.Duration // clock time at which its target latency is over
-	worth float64       // utility of its op type
 	sends []send
 	begun bool
 	over  bool   // answered or gone, kept while a dispatch has no outcome
