--- a/policy/policy.go
+++ b/policy/policy.go
@@ -6,7 +6,6 @@
 import (
 	"math"
 	"math/rand"
-	"slices"
 	"time"
 
 	"honeyplank"
@@ -20,10 +19,10 @@
 	near, past       = 1.5, 2.0          // latency near its best, and far past it
 	sliceOfTarget    = 0.25              // a round of slices lasts this part of the shortest target latency
 	spareOfTarget    = 0.125             // latency that leaves room for ops beyond the reserve
-	dueOfTarget      = 0.25              // the same for ops within the reserve
+	dueOfTarget      = 0.25               // the same for ops within the reserve
 	sweepOfTarget    = 1.0 / 20          // how often held ops are looked at
 	blending         = 1.0 / 8           // weight of the newest answer in a recent mean
-	creditEarned     = 2.0               // of a further dispatch, for each answer
+	creditEarned     = 0.5               // of a further dispatch, for each answer
 	creditMost       = 2 * floor
 	failingTooMuch   = 0.2 // share of errors at which new objects go elsewhere
 	restGrows        = 2.0
@@ -446,10 +445,7 @@
 func (s *Scheduler) due(p *op) bool {
 	v := s.volumes[p.Volume]
 	s.fillUp(v)
-	// Part of the store is kept for op types of more utility.
-	most := slices.Max(get[[]float64](s.set, "optypes.utility"))
-	kept := 1 - pick[float64](s.set, "optypes.utility", p.Type)/most
-	return v.reserve >= p.Units+kept*pick[float64](s.set, "plans.reserve", v.plan) && p.aim > s.now
+	return v.reserve >= p.Units && p.aim > s.now
 }
 
 // ---- Rules ----
