--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,7 +22,7 @@
 	dueOfTarget      = 0.25               // the same for ops within the reserve
 	sweepOfTarget    = 1.0 / 20          // how often held ops are looked at
 	blending         = 1.0 / 8           // weight of the newest answer in a recent mean
-	creditEarned     = 0.5               // of a further dispatch, for each answer
+	creditEarned     = 1.0               // of a further dispatch, for each answer
 	creditMost       = 2 * floor
 	failingTooMuch   = 0.2 // share of errors at which new objects go elsewhere
 	restGrows        = 2.0
