--- a/policy/policy.go
+++ b/policy/policy.go
@@ -4,8 +4,10 @@
 package policy
 
 import (
+	"cmp"
 	"math"
 	"math/rand"
+	"slices"
 	"time"
 
 	"honeyplank"
@@ -19,7 +21,7 @@
 	near, past       = 1.5, 2.0          // latency near its best, and far past it
 	sliceOfTarget    = 0.25              // a round of slices lasts this part of the shortest target latency
 	spareOfTarget    = 0.125             // latency that leaves room for ops beyond the reserve
-	dueOfTarget      = 0.25               // the same for ops within the reserve
+	dueOfTarget      = 0.25              // the same for ops within the reserve
 	sweepOfTarget    = 1.0 / 20          // how often held ops are looked at
 	blending         = 1.0 / 8           // weight of the newest answer in a recent mean
 	creditEarned     = 1.0               // of a further dispatch, for each answer
@@ -209,30 +211,24 @@
 	}
 }
 
-// house puts a held op into a queue: at the holder of its data, or for a new object at the first disk
-// server of the volume's ranking that has not enough already.
+// house puts a held op into a queue: of the disk servers that may take it, the first that has not enough
+// already, else the least loaded. A holder of the data that is not sound is a last resort.
 func (s *Scheduler) house(p *op) {
 	var home *osd
-	if p.Cell != honeyplank.NewObject {
-		for _, o := range s.order {
-			if o.Cell == p.Cell && o.State == honeyplank.On && (home == nil || o.Started > home.Started) {
-				home = o
-			}
-		}
-	} else {
-		least := math.Inf(1)
-		for _, o := range ranked(s.order, p.Volume) {
-			if o.State != honeyplank.On || !s.sound(o) || !s.mayDispatch(p, o) {
+	least := math.Inf(1)
+	for _, o := range s.takers(p) {
+		load := float64(o.out+o.holding()) / o.window
+		if !s.sound(o) || !s.mayDispatch(p, o) {
+			if p.Cell == honeyplank.NewObject {
 				continue
 			}
-			load := float64(o.out+o.holding()) / o.window
-			if load < 1 {
-				home = o
-				break
-			}
-			if load < least {
-				home, least = o, load
-			}
+			load += ceiling
+		}
+		if load < least {
+			home, least = o, load
+		}
+		if load < 1 {
+			break
 		}
 	}
 	if home == nil {
@@ -243,6 +239,23 @@
 	p.queue.lastSeen = s.now
 }
 
+// takers lists the disk servers that may take an op: the holders of its data, the longest started first, or
+// for a new object all in the volume's ranking.
+func (s *Scheduler) takers(p *op) (list []*osd) {
+	for _, o := range s.order {
+		if o.State == honeyplank.On && (p.Cell == honeyplank.NewObject || p.Cell == o.Cell) {
+			list = append(list, o)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *osd) int {
+		if p.Cell == honeyplank.NewObject {
+			return cmp.Compare(rank(p.Volume, b.OSD), rank(p.Volume, a.OSD))
+		}
+		return cmp.Compare(a.Started, b.Started)
+	})
+	return list
+}
+
 // sound tells whether a disk server may be given new objects.
 func (s *Scheduler) sound(o *osd) bool {
 	return o.failing < failingTooMuch && (o.health == up || o.health == trial && o.out == 0) && s.coldRoom(o, 1)
