--- a/policy/policy.go
+++ b/policy/policy.go
@@ -4,10 +4,8 @@
 package policy
 
 import (
-	"cmp"
 	"math"
 	"math/rand"
-	"slices"
 	"time"
 
 	"honeyplank"
@@ -21,7 +19,7 @@
 	near, past       = 1.5, 2.0          // latency near its best, and far past it
 	sliceOfTarget    = 0.25              // a round of slices lasts this part of the shortest target latency
 	spareOfTarget    = 0.125             // latency that leaves room for ops beyond the reserve
-	dueOfTarget      = 0.25              // the same for ops within the reserve
+	dueOfTarget      = 0.25               // the same for ops within the reserve
 	sweepOfTarget    = 1.0 / 20          // how often held ops are looked at
 	blending         = 1.0 / 8           // weight of the newest answer in a recent mean
 	creditEarned     = 1.0               // of a further dispatch, for each answer
@@ -211,24 +209,30 @@
 	}
 }
 
-// house puts a held op into a queue: of the disk servers that may take it, the first that has not enough
-// already, else the least loaded. A holder of the data that is not sound is a last resort.
+// house puts a held op into a queue: at the holder of its data, or for a new object at the first disk
+// server of the volume's ranking that has not enough already.
 func (s *Scheduler) house(p *op) {
 	var home *osd
-	least := math.Inf(1)
-	for _, o := range s.takers(p) {
-		load := float64(o.out+o.holding()) / o.window
-		if !s.sound(o) || !s.mayDispatch(p, o) {
-			if p.Cell == honeyplank.NewObject {
-				continue
+	if p.Cell != honeyplank.NewObject {
+		for _, o := range s.order {
+			if o.Cell == p.Cell && o.State == honeyplank.On && (home == nil || sounder(o, home)) {
+				home = o
 			}
-			load += ceiling
-		}
-		if load < least {
-			home, least = o, load
 		}
-		if load < 1 {
-			break
+	} else {
+		least := math.Inf(1)
+		for _, o := range ranked(s.order, p.Volume) {
+			if o.State != honeyplank.On || !s.sound(o) || !s.mayDispatch(p, o) {
+				continue
+			}
+			load := float64(o.out+o.holding()) / o.window
+			if load < 1 {
+				home = o
+				break
+			}
+			if load < least {
+				home, least = o, load
+			}
 		}
 	}
 	if home == nil {
@@ -239,21 +243,9 @@
 	p.queue.lastSeen = s.now
 }
 
-// takers lists the disk servers that may take an op: the holders of its data, the longest started first, or
-// for a new object all in the volume's ranking.
-func (s *Scheduler) takers(p *op) (list []*osd) {
-	for _, o := range s.order {
-		if o.State == honeyplank.On && (p.Cell == honeyplank.NewObject || p.Cell == o.Cell) {
-			list = append(list, o)
-		}
-	}
-	slices.SortStableFunc(list, func(a, b *osd) int {
-		if p.Cell == honeyplank.NewObject {
-			return cmp.Compare(rank(p.Volume, b.OSD), rank(p.Volume, a.OSD))
-		}
-		return cmp.Compare(a.Started, b.Started)
-	})
-	return list
+// sounder compares two holders of the same data: the healthier, then the one that has run for longer.
+func sounder(o, than *osd) bool {
+	return o.health < than.health || o.health == than.health && o.Started < than.Started
 }
 
 // sound tells whether a disk server may be given new objects.
@@ -560,7 +552,7 @@
 	}
 	from := get[float64](s.set, "cold.from")
 	grown := 1.0
-	if age := s.now - window - o.Started; from > 0 && from < 1 && age > 0 && warm > 0 {
+	if age := s.now - o.Started; from > 0 && from < 1 && age > 0 && warm > 0 {
 		grown = (from + (1-from)*min(1, float64(age)/float64(warm))) / from
 	}
 	return sum <= grown*get[float64](s.set, "cold.units")/float64(max(get[int](s.set, "hosts"), 1))
--- a/policy/state.go
+++ b/policy/state.go
@@ -162,6 +162,15 @@
 	return x ^ x>>33
 }
 
+// ranked returns the disk servers in the volume's order.
+func ranked(osds []*osd, volume int64) []*osd {
+	list := append([]*osd(nil), osds...)
+	sort.SliceStable(list, func(i, j int) bool {
+		return rank(volume, list[i].OSD) > rank(volume, list[j].OSD)
+	})
+	return list
+}
+
 // queueOf returns the volume's queue at a node, made when it is missing.
 func (o *osd) queueOf(v *volume) *queue {
 	for _, q := range o.queues {
