--- a/policy/policy.go
+++ b/policy/policy.go
@@ -427,6 +427,9 @@
 	if !s.due(p) {
 		part = spareOfTarget
 	}
+	if p.aim <= s.now { // an answer would earn little: only where nothing else is out
+		return o.out == 0 && o.holding() == 1
+	}
 	if shortest, _ := s.targets(); o.latency > 0 {
 		window *= min(1, part*shortest.Seconds()/o.latency)
 	}
