--- a/policy/policy.go
+++ b/policy/policy.go
@@ -427,13 +427,13 @@
 	if !s.due(p) {
 		part = spareOfTarget
 	}
-	if p.aim <= s.now { // an answer would earn little: only where nothing else is out
-		return o.out == 0 && o.holding() == 1
-	}
 	if shortest, _ := s.targets(); o.latency > 0 {
 		window *= min(1, part*shortest.Seconds()/o.latency)
 	}
-	return o.out == 0 || float64(o.out) < window
+	if o.out == 0 && window < 1 { // less than one at a time: a rest after each
+		return (s.now - o.oldest).Seconds() >= (1/window-1)*o.latency
+	}
+	return float64(o.out) < window
 }
 
 // ---- What is due to a volume ----
