--- a/policy/policy.go
+++ b/policy/policy.go
@@ -430,10 +430,10 @@
 	if shortest, _ := s.targets(); o.latency > 0 {
 		window *= min(1, part*shortest.Seconds()/o.latency)
 	}
-	if o.out == 0 && window < 1 { // less than one at a time: a rest after each
+	if o.out == 0 && window < 1 && o.latency > past*o.service && o.service > 0 { // less than one at a time: a rest after each
 		return (s.now - o.oldest).Seconds() >= (1/window-1)*o.latency
 	}
-	return float64(o.out) < window
+	return o.out == 0 || float64(o.out) < window
 }
 
 // ---- What is due to a volume ----
@@ -690,6 +690,9 @@
 	}
 	o.best += bestForgets * (o.perUnit - o.best)
 	o.answers++
+	if service := e.Load["latency"] / 1000; service > 0 {
+		o.service = service
+	}
 	spell := o.perUnit > past*o.best
 	if spell && !o.spell {
 		s.crowded(o, e)
