--- a/policy/policy.go
+++ b/policy/policy.go
@@ -430,9 +430,6 @@
 	if shortest, _ := s.targets(); o.latency > 0 {
 		window *= min(1, part*shortest.Seconds()/o.latency)
 	}
-	if o.out == 0 && window < 1 && o.latency > past*o.service && o.service > 0 { // less than one at a time: a rest after each
-		return (s.now - o.oldest).Seconds() >= (1/window-1)*o.latency
-	}
 	return o.out == 0 || float64(o.out) < window
 }
 
@@ -445,7 +442,7 @@
 	v.filled = s.now
 	reserve, limit := pick[float64](s.set, "plans.reserve", v.plan), pick[float64](s.set, "plans.limit", v.plan)
 	hosts := float64(v.hosts)
-	v.reserve += gap * max(reserve/hosts, reserve-v.others)
+	v.reserve += gap * reserve / hosts
 	v.reserve = min(v.reserve, reserve+get[float64](s.set, "units.largest"))
 	v.limit = min(v.limit+gap*limit/hosts, pick[float64](s.set, "plans.burst", v.plan)/hosts)
 }
@@ -690,9 +687,6 @@
 	}
 	o.best += bestForgets * (o.perUnit - o.best)
 	o.answers++
-	if service := e.Load["latency"] / 1000; service > 0 {
-		o.service = service
-	}
 	spell := o.perUnit > past*o.best
 	if spell && !o.spell {
 		s.crowded(o, e)
--- a/policy/state.go
+++ b/policy/state.go
@@ -25,7 +25,6 @@
 	out     int           // ops of this host that are out here
 	oldest  time.Duration // since when something has been out without any answer
 	latency float64       // recent answer time, in seconds
-	service float64       // its own report of its service time, without waiting, in seconds
 	perUnit float64       // recent answer time for each unit of size, in seconds
 	best    float64       // the best of perUnit, slowly forgotten
 	answers float64       // answers since the window last grew
