--- a/policy/policy.go
+++ b/policy/policy.go
@@ -19,7 +19,7 @@
 	near, past       = 1.5, 2.0          // latency near its best, and far past it
 	sliceOfTarget    = 0.25              // a round of slices lasts this part of the shortest target latency
 	spareOfTarget    = 0.125             // latency that leaves room for ops beyond the reserve
-	dueOfTarget      = 0.25               // the same for ops within the reserve
+	dueOfTarget      = 0.25              // the same for ops within the reserve
 	sweepOfTarget    = 1.0 / 20          // how often held ops are looked at
 	blending         = 1.0 / 8           // weight of the newest answer in a recent mean
 	creditEarned     = 1.0               // of a further dispatch, for each answer
@@ -430,6 +430,9 @@
 	if shortest, _ := s.targets(); o.latency > 0 {
 		window *= min(1, part*shortest.Seconds()/o.latency)
 	}
+	if p.Keyed && p.Key == o.lastKey { // a run under way reaches the node together
+		window = ceiling
+	}
 	return o.out == 0 || float64(o.out) < window
 }
 
@@ -442,7 +445,7 @@
 	v.filled = s.now
 	reserve, limit := pick[float64](s.set, "plans.reserve", v.plan), pick[float64](s.set, "plans.limit", v.plan)
 	hosts := float64(v.hosts)
-	v.reserve += gap * reserve / hosts
+	v.reserve += gap * max(reserve/hosts, reserve-v.others)
 	v.reserve = min(v.reserve, reserve+get[float64](s.set, "units.largest"))
 	v.limit = min(v.limit+gap*limit/hosts, pick[float64](s.set, "plans.burst", v.plan)/hosts)
 }
