--- a/policy/policy.go
+++ b/policy/policy.go
@@ -430,8 +430,8 @@
 	if shortest, _ := s.targets(); o.latency > 0 {
 		window *= min(1, part*shortest.Seconds()/o.latency)
 	}
-	if p.Keyed && p.Key == o.lastKey { // a run under way reaches the node together
-		window = ceiling
+	if p.Keyed && p.Key == o.lastKey && s.due(p) { // a run under way reaches the node together
+		window = max(past*window, past)
 	}
 	return o.out == 0 || float64(o.out) < window
 }
