--- a/policy/policy.go
+++ b/policy/policy.go
@@ -431,7 +431,7 @@
 		window *= min(1, part*shortest.Seconds()/o.latency)
 	}
 	if p.Keyed && p.Key == o.lastKey && s.due(p) { // a run under way reaches the node together
-		window = max(past*window, past)
+		window = max(past*window, ceiling/floor)
 	}
 	return o.out == 0 || float64(o.out) < window
 }
