--- a/policy/policy.go
+++ b/policy/policy.go
@@ -138,16 +138,17 @@
 
 // ---- Health of a disk server ----
 
-// healths is read by judge; a pair that is missing changes nothing.
+// healths is read by judge; a pair that is missing changes nothing. It guards against servers that died or
+// are silent, and should hold against any cut between this host and a server. It could harm where a server
+// merely pauses for long: it then gets one op at a time until it answers.
 var healths = map[health]map[finding]struct {
 	next   health
 	effect func(*Scheduler, *osd)
 }{
-	up:      {inLost: {doubted, (*Scheduler).narrow}, inBorn: {up, (*Scheduler).narrow}},
-	doubted: {inGood: {up, nil}, inLost: {down, (*Scheduler).lay}, inBorn: {up, (*Scheduler).narrow}},
-	down:    {inGood: {up, (*Scheduler).narrow}, inTime: {trial, nil}, inBorn: {up, (*Scheduler).narrow}},
-	trial: {inGood: {up, (*Scheduler).narrow}, inLost: {down, (*Scheduler).lay},
-		inBorn: {up, (*Scheduler).narrow}},
+	up:      {inLost: {doubted, narrow}, inBorn: {up, narrow}},
+	doubted: {inGood: {up, nil}, inLost: {down, (*Scheduler).lay}, inBorn: {up, narrow}},
+	down:    {inGood: {up, narrow}, inTime: {trial, nil}, inBorn: {up, narrow}},
+	trial:   {inGood: {up, narrow}, inLost: {down, (*Scheduler).lay}, inBorn: {up, narrow}},
 }
 
 func (s *Scheduler) judge(o *osd, in finding) {
@@ -164,7 +165,7 @@
 	}
 }
 
-func (s *Scheduler) narrow(o *osd) { o.window, o.rest = floor, 0 }
+func narrow(_ *Scheduler, o *osd) { o.window, o.rest = floor, 0 }
 
 // lay leaves a disk server alone, longer each time, up to the longest target latency.
 func (s *Scheduler) lay(o *osd) {
@@ -178,7 +179,7 @@
 	if s.ops[e.ID] != nil {
 		return
 	}
-	s.taken = append(s.taken, s.now)
+	s.taken = append(recent(s.taken, s.now-get[time.Duration](s.set, "budget.window")), s.now)
 	// A client's next try brings less time than a first one; its target latency runs from the first.
 	left, waited := e.Timeout-s.now, time.Duration(0)
 	if e.Type >= 0 && e.Type < len(s.patient) {
@@ -190,18 +191,9 @@
 	if e.Keyed && pick[bool](s.set, "optypes.ordered", e.Type) {
 		s.line(p)
 	}
-	v := s.volumes[e.Volume]
-	if v == nil {
-		v = &volume{plan: e.Plan, filled: s.now, ownAt: s.now, reserve: math.Inf(1), others: math.Inf(1)}
-		s.volumes[e.Volume] = v
-	}
-	if v.hosts, v.lastSeen = e.Hosts, s.now; v.hosts < 1 {
-		v.hosts = max(get[int](s.set, "hosts"), 1)
-	}
-	s.held = append(s.held, p)
-	s.house(p)
-	if q := p.queue; q != nil {
-		q.thinkt.gap(s.now, avgA, avgB)
+	s.open(p)
+	if s.house(p); p.queue != nil {
+		p.queue.thinkt.gap(s.now, avgA, avgB)
 		s.pump(p.osd)
 	}
 	if !p.over && !p.busy() && s.useless(p) {
@@ -238,7 +230,7 @@
 	if home == nil {
 		return
 	}
-	p.osd, p.queue = home, home.queueOf(s.volumes[p.Volume])
+	p.osd, p.queue = home, home.queueOf(p.volume)
 	p.queue.held = append(p.queue.held, p)
 	p.queue.lastSeen = s.now
 }
@@ -248,7 +240,8 @@
 	return o.health < than.health || o.health == than.health && o.Started < than.Started
 }
 
-// sound tells whether a disk server may be given new objects.
+// sound tells whether a disk server may be given new objects: not where errors come back fast, which would
+// otherwise look like room, nor where it is cold or down. It could harm when most servers fail at once.
 func (s *Scheduler) sound(o *osd) bool {
 	return o.failing < failingTooMuch && (o.health == up || o.health == trial && o.out == 0) && s.coldRoom(o, 1)
 }
@@ -414,8 +407,9 @@
 	return p.aim < than.aim
 }
 
-// room tells whether the window has room for an op. Ops beyond the reserve get only the part of it that
-// the node's latency leaves, since windows of many hosts add up past what a node serves in time.
+// room tells whether the window has room for an op. It gives only the part that the node's latency leaves,
+// less to ops beyond the reserve. It guards against windows of many hosts adding up past what a node serves
+// in time, and should hold against slow and crowded nodes too. It could harm where long ops are the rule.
 func (s *Scheduler) room(o *osd, p *op) bool {
 	switch o.health {
 	case down:
@@ -451,7 +445,7 @@
 }
 
 func (s *Scheduler) due(p *op) bool {
-	v := s.volumes[p.Volume]
+	v := p.volume
 	s.fillUp(v)
 	return v.reserve >= p.Units && p.aim > s.now
 }
@@ -465,10 +459,10 @@
 		return false
 	}
 	n := len(p.sends)
-	if n > 0 && (n >= get[int](s.set, "dispatches.max") || !s.repeats(p, o) || !s.budget() || o.credit < 1) {
+	if n > 0 && (!s.repeats(p, o) || !s.budget() || o.credit < 1) {
 		return false
 	}
-	v := s.volumes[p.Volume]
+	v := p.volume
 	s.fillUp(v)
 	if n == 0 && pick[float64](s.set, "plans.limit", v.plan) > 0 && v.limit < p.Units {
 		return false
@@ -489,14 +483,10 @@
 		case honeyplank.OnceOnly:
 			return false
 		case honeyplank.Deduplicated:
-			if s.now >= d.at+pick[time.Duration](s.set, "optypes.remember", p.Type) {
-				return false
-			}
 			scope := pick[honeyplank.Scope](s.set, "optypes.scope", p.Type)
-			if scope == honeyplank.ScopeZone && d.osd.Zone != o.Zone {
-				return false
-			}
-			if scope == honeyplank.ScopeCell && d.osd.Cell != o.Cell {
+			far := scope == honeyplank.ScopeZone && d.osd.Zone != o.Zone ||
+				scope == honeyplank.ScopeCell && d.osd.Cell != o.Cell
+			if far || s.now >= d.at+pick[time.Duration](s.set, "optypes.remember", p.Type) {
 				return false
 			}
 		}
@@ -508,15 +498,7 @@
 func (s *Scheduler) harmless(p *op) bool {
 	kind := pick[honeyplank.Kind](s.set, "optypes.kind", p.Type)
 	anywhere := pick[honeyplank.Scope](s.set, "optypes.scope", p.Type) == honeyplank.ScopeAll
-	if kind == honeyplank.Replayable || kind == honeyplank.Deduplicated && anywhere {
-		return true
-	}
-	for _, d := range p.sends {
-		if !d.done || d.maybe {
-			return false
-		}
-	}
-	return true
+	return kind == honeyplank.Replayable || kind == honeyplank.Deduplicated && anywhere || p.neverRan()
 }
 
 // budget tells whether one more further dispatch fits into the sliding window.
@@ -533,38 +515,29 @@
 // turnOf tells whether an op of an ordered type has its key's turn.
 func (s *Scheduler) turnOf(p *op) bool {
 	k := p.key
-	if k == nil {
-		return true
-	}
-	return k.ops[0] == p && (s.now >= k.rest || k.restBy == p.ID)
+	return k == nil || k.ops[0] == p && (s.now >= k.rest || k.restBy == p.ID)
 }
 
 // coldRoom keeps a disk server that has just started below this host's part of what it always bears. The
 // part grows no faster than the slowest warm-up. Every dispatch of the last window counts.
 func (s *Scheduler) coldRoom(o *osd, units float64) bool {
 	window, warm := get[time.Duration](s.set, "cold.window"), get[time.Duration](s.set, "cold.time")
-	for len(o.log) > 0 && o.log[0].at < s.now-window {
-		o.log = o.log[1:]
-	}
+	o.trim(s.now - window)
 	if o.Started <= 0 || window <= 0 || s.now >= o.Started+warm+window {
 		return true
 	}
-	sum := units
-	for _, x := range o.log {
-		sum += x.units
-	}
 	from := get[float64](s.set, "cold.from")
 	grown := 1.0
 	if age := s.now - o.Started; from > 0 && from < 1 && age > 0 && warm > 0 {
 		grown = (from + (1-from)*min(1, float64(age)/float64(warm))) / from
 	}
-	return sum <= grown*get[float64](s.set, "cold.units")/float64(max(get[int](s.set, "hosts"), 1))
+	return o.logged()+units <= grown*get[float64](s.set, "cold.units")/float64(max(get[int](s.set, "hosts"), 1))
 }
 
 // ---- Sending and answering ----
 
 func (s *Scheduler) send(p *op, o *osd) {
-	v := s.volumes[p.Volume]
+	v := p.volume
 	if len(p.sends) > 0 {
 		s.extras = append(s.extras, s.now)
 		o.credit--
@@ -583,7 +556,7 @@
 // still, and what it says of the disk server.
 var outcomes = map[honeyplank.Code]struct {
 	maybe, runs, answered, lost bool
-	effect                      func(*Scheduler, *osd, honeyplank.Outcome)
+	effect                      func(*Scheduler, *osd, *op, honeyplank.Outcome)
 }{
 	honeyplank.Acked:       {maybe: true, answered: true, effect: (*Scheduler).measure},
 	honeyplank.Errored:     {maybe: true, answered: true, effect: (*Scheduler).blame},
@@ -596,11 +569,10 @@
 }
 
 func (s *Scheduler) outcome(e honeyplank.Outcome) {
-	o, p := s.osds[e.OSD], s.ops[e.Op]
-	if o == nil {
+	o, p, way := s.osds[e.OSD], s.ops[e.Op], outcomes[e.Code]
+	if o == nil || p == nil || !p.close(e.Dispatch, way.maybe) {
 		return
 	}
-	way := outcomes[e.Code]
 	o.out = max(o.out-1, 0)
 	if way.answered {
 		o.oldest = s.now
@@ -610,13 +582,8 @@
 		s.judge(o, inLost)
 	}
 	if way.effect != nil {
-		way.effect(s, o, e)
-	}
-	if p == nil {
-		s.pump(o)
-		return
+		way.effect(s, o, p, e)
 	}
-	p.close(e.Dispatch, way.maybe)
 	if k := p.key; k != nil && way.runs {
 		k.rest, k.restBy = s.now+get[time.Duration](s.set, "order.settle"), p.ID
 	}
@@ -627,8 +594,13 @@
 	} else if !p.busy() && p.queue == nil {
 		s.again(p, o)
 	}
-	if k := p.key; k != nil && len(k.ops) > 0 && k.ops[0].queue != nil {
-		s.pump(k.ops[0].osd)
+	if k := p.key; k != nil && len(k.ops) > 0 { // the next of the key may leave now
+		if k.ops[0].osd == nil {
+			s.house(k.ops[0])
+		}
+		if k.ops[0].osd != nil {
+			s.pump(k.ops[0].osd)
+		}
 	}
 	s.pump(o)
 }
@@ -648,7 +620,8 @@
 }
 
 // useless tells whether a held op can no longer earn its utility: its target latency would be over before
-// an answer of the usual time there, or the client is about to give up.
+// an answer of the usual time there, or the client is about to give up. It guards against late answers that
+// cost a node as much as good ones, whatever fills it; after a short stall it gives up some ops too early.
 func (s *Scheduler) useless(p *op) bool {
 	if s.now+slack*s.sweepEvery() >= p.Timeout {
 		return true
@@ -676,13 +649,9 @@
 
 // ---- What answers tell ----
 
-func (s *Scheduler) measure(o *osd, e honeyplank.Outcome) {
+func (s *Scheduler) measure(o *osd, p *op, e honeyplank.Outcome) {
 	o.credit = min(o.credit+creditEarned, creditMost)
 	o.failing -= blending * o.failing
-	p := s.ops[e.Op]
-	if p == nil {
-		return
-	}
 	o.latency = blend(o.latency, e.Elapsed.Seconds(), blending)
 	o.perUnit = blend(o.perUnit, e.Elapsed.Seconds()/max(p.Units, 1), blending)
 	if o.best == 0 || o.perUnit < o.best {
@@ -692,21 +661,20 @@
 	o.answers++
 	spell := o.perUnit > past*o.best
 	if spell && !o.spell {
-		s.crowded(o, e)
+		s.crowded(o, p, e)
 	} else if o.perUnit < near*o.best && o.answers >= o.window {
 		o.window, o.answers = min(ceiling, o.window+1), 0
 	}
 	o.spell = spell
-	v := s.volumes[p.Volume]
-	q := o.queueOf(v)
+	q := o.queueOf(p.volume)
 	q.await.gap(s.now, avgA, avgB)
 	q.lastSeen = s.now
-	s.used(v, p, e)
+	s.used(p, e)
 }
 
 // used keeps what others serve for a volume: all that was served less what went through this host.
-func (s *Scheduler) used(v *volume, p *op, e honeyplank.Outcome) {
-	period := get[time.Duration](s.set, "meter.period").Seconds()
+func (s *Scheduler) used(p *op, e honeyplank.Outcome) {
+	v, period := p.volume, get[time.Duration](s.set, "meter.period").Seconds()
 	if period <= 0 {
 		return
 	}
@@ -718,9 +686,13 @@
 	}
 }
 
-func (s *Scheduler) blame(o *osd, _ honeyplank.Outcome) { o.failing += blending * (1 - o.failing) }
+func (s *Scheduler) blame(o *osd, _ *op, _ honeyplank.Outcome) {
+	o.failing += blending * (1 - o.failing)
+}
 
-func (s *Scheduler) crowded(o *osd, _ honeyplank.Outcome) { o.window = max(floor, o.window/2) }
+func (s *Scheduler) crowded(o *osd, _ *op, _ honeyplank.Outcome) {
+	o.window = max(floor, o.window/2)
+}
 
 // ---- The sweep ----
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -67,20 +67,22 @@
 	others   float64 // units a second that other hosts serve for it
 	own      float64 // units a second that this host serves for it
 	ownAt    time.Duration
+	open     int // ops taken and not over
 	lastSeen time.Duration
 }
 
 // op is an op that this scheduler owes an answer.
 type op struct {
 	honeyplank.Op
-	aim   time.Duration // clock time at which its target latency is over
-	sends []send
-	begun bool
-	over  bool   // answered or gone, kept while a dispatch has no outcome
-	osd   *osd   // where it is held or was last sent
-	queue *queue // where it is held; nil while it is out
-	key   *key
-	early bool // it comes before others of its volume: a further dispatch
+	aim    time.Duration // clock time at which its target latency is over
+	sends  []send
+	begun  bool
+	over   bool // answered or gone, kept while a dispatch has no outcome
+	volume *volume
+	osd    *osd   // where it is held or was last sent
+	queue  *queue // where it is held; nil while it is out
+	key    *key
+	early  bool // it comes before others of its volume: a further dispatch
 }
 
 type send struct {
@@ -319,6 +321,7 @@
 		return
 	}
 	delete(s.ops, p.ID)
+	p.volume.open--
 	if p.key != nil {
 		p.key.ops = without(p.key.ops, p)
 	}
@@ -336,7 +339,7 @@
 		o.queues = kept
 	}
 	for id, v := range s.volumes {
-		if s.now-v.lastSeen >= idle {
+		if v.open == 0 && s.now-v.lastSeen >= idle {
 			delete(s.volumes, id)
 		}
 	}
@@ -422,9 +425,51 @@
 	}
 }
 
-// close notes how a dispatch ended.
-func (p *op) close(n int, maybe bool) {
-	if n >= 0 && n < len(p.sends) {
-		p.sends[n].done, p.sends[n].maybe = true, maybe
+// close notes how a dispatch ended; it tells whether that was news.
+func (p *op) close(n int, maybe bool) bool {
+	if n < 0 || n >= len(p.sends) || p.sends[n].done {
+		return false
 	}
+	p.sends[n].done, p.sends[n].maybe = true, maybe
+	return true
+}
+
+// open takes an op up as held, with the record of its volume.
+func (s *Scheduler) open(p *op) {
+	v := s.volumes[p.Volume]
+	if v == nil {
+		v = &volume{plan: p.Plan, filled: s.now, ownAt: s.now, reserve: math.Inf(1), others: math.Inf(1)}
+		s.volumes[p.Volume] = v
+	}
+	v.hosts, v.lastSeen = p.Hosts, s.now
+	if v.hosts < 1 {
+		v.hosts = max(get[int](s.set, "hosts"), 1)
+	}
+	v.open++
+	p.volume = v
+	s.held = append(s.held, p)
+}
+
+// neverRan tells whether every dispatch of an op is known not to have run.
+func (p *op) neverRan() bool {
+	for _, d := range p.sends {
+		if !d.done || d.maybe {
+			return false
+		}
+	}
+	return true
+}
+
+// trim drops what was sent before a time from the log, and logged adds up the rest.
+func (o *osd) trim(from time.Duration) {
+	for len(o.log) > 0 && o.log[0].at < from {
+		o.log = o.log[1:]
+	}
+}
+
+func (o *osd) logged() (sum float64) {
+	for _, x := range o.log {
+		sum += x.units
+	}
+	return sum
 }
