New objects go to the next in rank where latency leaves no room

Cause: a volume's first-ranked server kept getting its new objects while crowded or slow, as its window of four still had places.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -217,7 +217,7 @@
 			if o.State != honeyplank.On || !s.sound(o) || !s.mayDispatch(p, o) {
 				continue
 			}
-			load := float64(o.out+o.holding()) / o.window
+			load := float64(o.out+o.holding()) / s.places(o, dueOfTarget)
 			if load < 1 {
 				home = o
 				break
@@ -417,19 +417,25 @@
 	case trial:
 		return o.out == 0 || s.now-o.oldest > o.rest
 	}
-	window, part := o.window, dueOfTarget
-	if !s.due(p) {
-		part = spareOfTarget
-	}
-	if shortest, _ := s.targets(); o.latency > 0 {
-		window *= min(1, part*shortest.Seconds()/o.latency)
-	}
-	if p.Keyed && p.Key == o.lastKey && s.due(p) { // a run under way reaches the node together
-		window = max(past*window, past)
+	window := s.places(o, spareOfTarget)
+	if s.due(p) {
+		window = s.places(o, dueOfTarget)
+		if p.Keyed && p.Key == o.lastKey { // a run under way reaches the node together
+			window = max(past*window, past)
+		}
 	}
 	return o.out == 0 || float64(o.out) < window
 }
 
+// places is what the node's latency leaves of the window for ops that may take a part of the target latency.
+func (s *Scheduler) places(o *osd, part float64) float64 {
+	shortest, _ := s.targets()
+	if o.latency <= 0 || shortest <= 0 {
+		return o.window
+	}
+	return o.window * min(1, part*shortest.Seconds()/o.latency)
+}
+
 // ---- What is due to a volume ----
 
 // fillUp brings the volume's stores up to now. Of the reserve this host counts what others leave, and at
