The load that ranks servers for new objects counts the object itself

Cause: an idle server counted as empty whatever its latency, so slow ones kept their place in the ranking.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -217,7 +217,7 @@
 			if o.State != honeyplank.On || !s.sound(o) || !s.mayDispatch(p, o) {
 				continue
 			}
-			load := float64(o.out+o.holding()) / s.places(o, spareOfTarget/2)
+			load := float64(1+o.out+o.holding()) / s.places(o, spareOfTarget/2)
 			if load < 1 {
 				home = o
 				break
