--- a/policy/policy.go
+++ b/policy/policy.go
@@ -127,10 +127,6 @@
 // move finds a place for ops that have none and sends what may leave.
 func (s *Scheduler) move() {
 	for _, p := range s.held {
-		if p.Cell == honeyplank.NewObject && p.queue != nil { // it may go elsewhere by now
-			p.queue.drop(p)
-			p.osd, p.queue = nil, nil
-		}
 		if p.osd == nil {
 			s.house(p)
 		}
