--- a/policy/policy.go
+++ b/policy/policy.go
@@ -19,7 +19,7 @@
 	near, past       = 1.5, 2.0          // latency near its best, and far past it
 	sliceOfTarget    = 0.25              // a round of slices lasts this part of the shortest target latency
 	spareOfTarget    = 0.0625            // latency that leaves room for ops beyond the reserve
-	dueOfTarget      = 0.125             // the same for ops within the reserve
+	dueOfTarget      = 0.25              // the same for ops within the reserve
 	sweepOfTarget    = 1.0 / 20          // how often held ops are looked at
 	blending         = 1.0 / 8           // weight of the newest answer in a recent mean
 	creditEarned     = 1.0               // of a further dispatch, for each answer
@@ -424,6 +424,9 @@
 			window = max(past*window, past)
 		}
 	}
+	if w := s.places(o, dueOfTarget); w < 1 && o.out == 0 && !s.due(p) {
+		return (s.now - o.oldest).Seconds() >= (1/w-1)*o.latency
+	}
 	return o.out == 0 || float64(o.out) < window
 }
 
