--- a/policy/policy.go
+++ b/policy/policy.go
@@ -424,9 +424,6 @@
 			window = max(past*window, past)
 		}
 	}
-	if w := s.places(o, dueOfTarget); w < 1 && o.out == 0 && !s.due(p) {
-		return (s.now - o.oldest).Seconds() >= (1/w-1)*o.latency
-	}
 	return o.out == 0 || float64(o.out) < window
 }
 
