--- a/policy/policy.go
+++ b/policy/policy.go
@@ -635,7 +635,7 @@
 	if p.osd == nil {
 		return s.now >= p.aim
 	}
-	return s.now+time.Duration(p.osd.latency*float64(time.Second)) >= p.aim
+	return s.now+time.Duration(p.osd.latency*float64(time.Second)/2) >= p.aim
 }
 
 // answer gives an op up at once.
