--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"os"
 
-	"honeyplank"
 	"honeyplank/internal/wire"
 	"honeyplank/policy"
 )
@@ -21,6 +20,3 @@
 		os.Exit(1)
 	}
 }
-
-var _ wire.Handler = (*policy.Scheduler)(nil)
-var _ honeyplank.Event = honeyplank.Op{}
--- a/internal/wire/provision.go
+++ b/internal/wire/provision.go
@@ -30,7 +30,6 @@
 		Semantics string  `json:"semantics"`
 		Streaming bool    `json:"streaming"`
 		Target    float64 `json:"target_ms"`
-		Stretch   float64 `json:"aim_stretch"`
 		Window    float64 `json:"window_ms"`
 		Worth     float64 `json:"worth"`
 		InOrder   bool    `json:"in_order"`
@@ -91,7 +90,7 @@
 // by plan; budget.* is there only where the site states a budget.
 func (f *siteFigures) values() (map[string]any, error) {
 	var target, timeout, remember []time.Duration
-	var utility, late, stretch []float64
+	var utility, late []float64
 	var kind []honeyplank.Kind
 	var scope []honeyplank.Scope
 	var ordered []bool
@@ -107,7 +106,6 @@
 		target, timeout = append(target, span(c.Target)), append(timeout, span(c.GiveUp))
 		remember = append(remember, span(c.Window))
 		utility, late = append(utility, c.Worth), append(late, c.LateWorth)
-		stretch = append(stretch, c.Stretch)
 		kind, scope, ordered = append(kind, k), append(scope, s), append(ordered, c.InOrder)
 	}
 	var rate, reserve, weight, value, limit, burst, slack []float64
@@ -121,7 +119,7 @@
 		"optypes.target_latency": target, "optypes.op_timeout": timeout,
 		"optypes.utility": utility, "optypes.late_utility": late,
 		"optypes.kind": kind, "optypes.scope": scope, "optypes.remember": remember,
-		"optypes.ordered": ordered, "optypes.stretch": stretch, "optypes.writes": f.Family.Writes,
+		"optypes.ordered": ordered, "optypes.writes": f.Family.Writes,
 		"plans.rate": rate, "plans.reserve": reserve, "plans.weight": weight,
 		"plans.value": value, "plans.limit": limit, "plans.burst": burst, "plans.slack": slack,
 		"hosts": f.Peers, "ordinal": f.Ordinal, "zone": f.Zone, "step": span(f.Step),
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -186,7 +186,7 @@
 		s.patient[e.Type] = max(s.patient[e.Type], left)
 		waited = s.patient[e.Type] - left
 	}
-	p := &op{Op: e, aim: s.now + pick[time.Duration](s.set, "optypes.target_latency", e.Type) - waited}
+	p := &op{Op: e, target: s.now + pick[time.Duration](s.set, "optypes.target_latency", e.Type) - waited}
 	s.ops[e.ID] = p
 	if e.Keyed && pick[bool](s.set, "optypes.ordered", e.Type) {
 		s.line(p)
@@ -404,7 +404,7 @@
 	if run := p.Keyed && p.Key == o.lastKey; run != (than.Keyed && than.Key == o.lastKey) {
 		return run
 	}
-	return p.aim < than.aim
+	return p.target < than.target
 }
 
 // room tells whether the window has room for an op. It gives only the part that the node's latency leaves,
@@ -453,7 +453,7 @@
 func (s *Scheduler) due(p *op) bool {
 	v := p.volume
 	s.fillUp(v)
-	return v.reserve >= p.Units && p.aim > s.now
+	return v.reserve >= p.Units && p.target > s.now
 }
 
 // ---- Rules ----
@@ -616,7 +616,7 @@
 // follows: it guards against retries on a server that answers little, whatever ails it, and could harm where
 // a healthy server's first answers are still due.
 func (s *Scheduler) again(p *op, o *osd) {
-	if len(p.sends) >= get[int](s.set, "dispatches.max") || !s.repeats(p, o) || s.now >= p.aim {
+	if len(p.sends) >= get[int](s.set, "dispatches.max") || !s.repeats(p, o) || s.now >= p.target {
 		s.answer(p)
 		return
 	}
@@ -636,9 +636,9 @@
 		return true
 	}
 	if p.osd == nil {
-		return s.now >= p.aim
+		return s.now >= p.target
 	}
-	return s.now+time.Duration(p.osd.latency*float64(time.Second)) >= p.aim
+	return s.now+time.Duration(p.osd.latency*float64(time.Second)) >= p.target
 }
 
 // answer gives an op up at once.
--- a/policy/state.go
+++ b/policy/state.go
@@ -57,7 +57,6 @@
 
 // volume counts what is due to a volume through this host.
 type volume struct {
-	id       int64
 	plan     int
 	hosts    int
 	reserve  float64 // units of the reserve left
@@ -73,7 +72,7 @@
 // op is an op that this scheduler owes an answer.
 type op struct {
 	honeyplank.Op
-	aim    time.Duration // clock time at which its target latency is over
+	target time.Duration // clock time at which its target latency is over
 	sends  []send
 	begun  bool
 	over   bool // answered or gone, kept while a dispatch has no outcome
@@ -94,7 +93,6 @@
 // key keeps ops of ordered types apart.
 type key struct {
 	ops    []*op // in the order taken
-	out    int   // dispatches without an outcome
 	rest   time.Duration
 	restBy honeyplank.OpID
 }
