--- a/policy/model_test.go
+++ b/policy/model_test.go
@@ -267,9 +267,8 @@
 	n := len(t.sends) - 1
 	d := &t.sends[n]
 	d.ended = true
-	way := outcomes[code]
-	d.maybe = way.maybe
-	if way.runs {
+	d.maybe = code != honeyplank.Full && code != honeyplank.Unconnected && code != honeyplank.Moot
+	if code == honeyplank.TimedOut || code == honeyplank.Reset || code == honeyplank.Cancelled {
 		t.rested = w.now + get[time.Duration](w.set, "order.settle")
 	}
 	if code == honeyplank.Acked || t.begun {
