Take out two checks that others already make

mayDispatch looks at the list's state itself, and an outcome is counted once, so a host's ops out never fall below 0.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -214,7 +214,7 @@
 	} else {
 		least := math.Inf(1)
 		for _, o := range ranked(s.order, p.Volume) {
-			if o.State != honeyplank.On || !s.sound(o) || !s.mayDispatch(p, o) {
+			if !s.sound(o) || !s.mayDispatch(p, o) {
 				continue
 			}
 			load := float64(1+o.out+o.holding()) / s.places(o, spareOfTarget)
@@ -580,7 +580,7 @@
 	if o == nil || p == nil || !p.close(e.Dispatch, way.maybe) {
 		return
 	}
-	o.out = max(o.out-1, 0)
+	o.out--
 	if way.answered {
 		o.oldest = s.now
 		s.judge(o, inGood)
