--- a/policy/policy.go
+++ b/policy/policy.go
@@ -186,7 +186,7 @@
 		s.patient[e.Type] = max(s.patient[e.Type], left)
 		waited = s.patient[e.Type] - left
 	}
-	p := &op{Op: e, lot: s.rng.Float64(), target: s.now + pick[time.Duration](s.set, "optypes.target_latency", e.Type) - waited}
+	p := &op{Op: e, target: s.now + pick[time.Duration](s.set, "optypes.target_latency", e.Type) - waited}
 	s.ops[e.ID] = p
 	if e.Keyed && pick[bool](s.set, "optypes.ordered", e.Type) {
 		s.line(p)
@@ -424,17 +424,16 @@
 			window = max(past*window, past)
 		}
 	}
-	return float64(o.out)+p.lot < window
+	return o.out == 0 || float64(o.out) < window
 }
 
 // places is what the node's latency leaves of the window for ops that may take a part of the target latency.
 func (s *Scheduler) places(o *osd, part float64) float64 {
 	shortest, _ := s.targets()
-	latency := s.latency(o)
-	if latency <= 0 || shortest <= 0 {
+	if o.latency <= 0 || shortest <= 0 {
 		return o.window
 	}
-	return o.window * min(1, part*shortest.Seconds()/latency)
+	return o.window * min(1, part*shortest.Seconds()/o.latency)
 }
 
 // ---- What is due to a volume ----
@@ -639,7 +638,7 @@
 	if p.osd == nil {
 		return s.now >= p.target
 	}
-	return s.now+time.Duration(s.latency(p.osd)*float64(time.Second)) >= p.target
+	return s.now+time.Duration(p.osd.latency*float64(time.Second)) >= p.target
 }
 
 // answer gives an op up at once.
@@ -662,7 +661,7 @@
 func (s *Scheduler) measure(o *osd, p *op, e honeyplank.Outcome) {
 	o.credit = min(o.credit+creditEarned, creditMost)
 	o.failing -= blending * o.failing
-	s.learn(o, e.Elapsed)
+	o.latency = blend(o.latency, e.Elapsed.Seconds(), blending)
 	o.perUnit = blend(o.perUnit, e.Elapsed.Seconds()/max(p.Units, 1), blending)
 	if o.best == 0 || o.perUnit < o.best {
 		o.best = o.perUnit
@@ -696,21 +695,6 @@
 	}
 }
 
-// learn takes in how long an answer took. The longer ago the last one came, the more the new one counts.
-func (s *Scheduler) learn(o *osd, took time.Duration) {
-	o.latency = blend(s.latency(o), took.Seconds(), max(blending, 1-s.fresh(o)))
-	o.told = s.now
-}
-
-// fresh is what is left of the weight of a node's last answers.
-func (s *Scheduler) fresh(o *osd) float64 {
-	_, longest := s.targets()
-	return math.Exp(-(s.now - o.told).Seconds() / max(longest.Seconds(), 1e-3))
-}
-
-// latency is what an answer of a node takes, as far as this host can tell by now.
-func (s *Scheduler) latency(o *osd) float64 { return o.latency * s.fresh(o) }
-
 func (s *Scheduler) blame(o *osd, _ *op, _ honeyplank.Outcome) {
 	o.failing += blending * (1 - o.failing)
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -24,7 +24,6 @@
 	out     int           // ops of this host that are out here
 	oldest  time.Duration // since when something has been out without any answer
 	latency float64       // recent answer time, in seconds
-	told    time.Duration // when latency last took something in
 	perUnit float64       // recent answer time for each unit of size, in seconds
 	best    float64       // the best of perUnit, slowly forgotten
 	answers float64       // answers since the window last grew
@@ -74,7 +73,6 @@
 type op struct {
 	honeyplank.Op
 	target time.Duration // clock time at which its target latency is over
-	lot    float64       // its own draw from [0, 1), for shares smaller than one op
 	sends  []send
 	begun  bool
 	over   bool // answered or gone, kept while a dispatch has no outcome
