Each host counts an even part of each reserve and of its burst

Cause: every host counted the whole burst of a reserve and, by a late meter, most of its rate; with 16 to 24 hosts a volume all ops were due in a surge.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -438,22 +438,19 @@
 
 // ---- What is due to a volume ----
 
-// fillUp brings the volume's stores up to now. Of the reserve this host counts what others leave, and at
-// least an even part; of the limit an even part.
+// fillUp brings the volume's stores up to now: of reserve and limit this host counts an even part.
 func (s *Scheduler) fillUp(v *volume) {
-	gap := (s.now - v.filled).Seconds()
+	gap, hosts := (s.now - v.filled).Seconds(), float64(v.hosts)
 	v.filled = s.now
 	reserve, limit := pick[float64](s.set, "plans.reserve", v.plan), pick[float64](s.set, "plans.limit", v.plan)
-	hosts := float64(v.hosts)
-	v.reserve += gap * max(reserve/hosts, reserve-v.others)
-	v.reserve = min(v.reserve, reserve+get[float64](s.set, "units.largest"))
+	v.reserve = min(v.reserve+gap*reserve/hosts, (reserve+get[float64](s.set, "units.largest"))/hosts)
 	v.limit = min(v.limit+gap*limit/hosts, pick[float64](s.set, "plans.burst", v.plan)/hosts)
 }
 
 func (s *Scheduler) due(p *op) bool {
 	v := p.volume
 	s.fillUp(v)
-	return v.reserve >= p.Units && p.target > s.now
+	return v.reserve > 0 && p.target > s.now
 }
 
 // ---- Rules ----
@@ -551,7 +548,7 @@
 	} else {
 		v.limit -= p.Units
 	}
-	v.reserve = max(v.reserve-p.Units, 0)
+	v.reserve -= p.Units
 	if o.out == 0 || o.health == trial {
 		o.oldest = s.now
 	}
@@ -678,21 +675,6 @@
 	q := o.queueOf(p.volume)
 	q.await.gap(s.now, avgA, avgB)
 	q.lastSeen = s.now
-	s.used(p, e)
-}
-
-// used keeps what others serve for a volume: all that was served less what went through this host.
-func (s *Scheduler) used(p *op, e honeyplank.Outcome) {
-	v, period := p.volume, get[time.Duration](s.set, "meter.period").Seconds()
-	if period <= 0 {
-		return
-	}
-	v.own = v.own*math.Exp(-(s.now-v.ownAt).Seconds()/period) + p.Units/period
-	v.ownAt = s.now
-	if e.Used > 0 {
-		total := float64(e.Used-1) / 100 * pick[float64](s.set, "plans.rate", v.plan)
-		v.others = max(0, total-v.own)
-	}
 }
 
 func (s *Scheduler) blame(o *osd, _ *op, _ honeyplank.Outcome) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -62,9 +62,6 @@
 	reserve  float64 // units of the reserve left
 	limit    float64 // units of this host's part of the limit left
 	filled   time.Duration
-	others   float64 // units a second that other hosts serve for it
-	own      float64 // units a second that this host serves for it
-	ownAt    time.Duration
 	open     int // ops taken and not over
 	lastSeen time.Duration
 }
@@ -435,7 +432,7 @@
 func (s *Scheduler) open(p *op) {
 	v := s.volumes[p.Volume]
 	if v == nil {
-		v = &volume{plan: p.Plan, filled: s.now, ownAt: s.now, reserve: math.Inf(1), others: math.Inf(1)}
+		v = &volume{plan: p.Plan, filled: s.now, reserve: math.Inf(1)}
 		s.volumes[p.Volume] = v
 	}
 	v.hosts, v.lastSeen = p.Hosts, s.now
