A cold server's part below one op goes by each op's lot

Cause: with 30 to 150 hosts the even part of the always-safe units is under one op for the whole warm-up, so restarted nodes got nothing for up to 18 s. Now the mean of what a host sends stays within its part. Guards against any number of hosts at cold nodes; could harm where a whole fleet's ops are for one cold node.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -116,8 +116,11 @@
 			o.Member = m
 		}
 	}
+	s.running = 0
 	for _, o := range s.order {
-		if o.State != honeyplank.On {
+		if o.State == honeyplank.On {
+			s.running++
+		} else {
 			o.unhouse()
 		}
 	}
@@ -186,7 +189,9 @@
 		s.patient[e.Type] = max(s.patient[e.Type], left)
 		waited = s.patient[e.Type] - left
 	}
-	p := &op{Op: e, target: s.now + pick[time.Duration](s.set, "optypes.target_latency", e.Type) - waited}
+	_, longest := s.targets()
+	s.demand.add(s.now, e.Units, 2*longest)
+	p := &op{Op: e, lot: s.rng.Float64(), target: s.now + pick[time.Duration](s.set, "optypes.target_latency", e.Type) - waited}
 	s.ops[e.ID] = p
 	if e.Keyed && pick[bool](s.set, "optypes.ordered", e.Type) {
 		s.line(p)
@@ -243,7 +248,7 @@
 // sound tells whether a disk server may be given new objects: not where errors come back fast, which would
 // otherwise look like room, nor where it is cold or down. It could harm when most servers fail at once.
 func (s *Scheduler) sound(o *osd) bool {
-	return o.failing < failingTooMuch && (o.health == up || o.health == trial && o.out == 0) && s.coldRoom(o, 1)
+	return o.failing < failingTooMuch && (o.health == up || o.health == trial && o.out == 0) && s.coldRoom(o, 1, 1)
 }
 
 // ---- Slices (iShare) ----
@@ -470,7 +475,7 @@
 	if n == 0 && pick[float64](s.set, "plans.limit", v.plan) > 0 && v.limit < p.Units {
 		return false
 	}
-	return s.turnOf(p) && s.coldRoom(o, p.Units)
+	return s.turnOf(p) && s.coldRoom(o, p.Units, p.lot)
 }
 
 // repeats tells whether the kind of an op allows another dispatch at this disk server.
@@ -522,9 +527,12 @@
 }
 
 // coldRoom keeps a disk server that has just started below this host's part of what it always bears. The
-// part grows no faster than the slowest warm-up. Every dispatch of the last window counts. It guards against
-// pushing the server over, by any number of hosts, and harms where few of them have ops for it.
-func (s *Scheduler) coldRoom(o *osd, units float64) bool {
+// part grows no faster than the slowest warm-up. Every dispatch of the last window counts. Where many hosts
+// leave a part smaller than an op, an op's lot decides, so that the mean stays within the part: what this
+// host takes for a node is known from its ops for all. It guards against pushing the server over, by any
+// number of hosts, and harms where few of them have ops for it; where all of a fleet's ops are for one cold
+// server, chance alone would not hold.
+func (s *Scheduler) coldRoom(o *osd, units, lot float64) bool {
 	window, warm := get[time.Duration](s.set, "cold.window"), get[time.Duration](s.set, "cold.time")
 	o.trim(s.now - window)
 	if o.Started <= 0 || window <= 0 || s.now >= o.Started+warm+window {
@@ -535,7 +543,9 @@
 	if age := s.now - o.Started; from > 0 && from < 1 && age > 0 && warm > 0 {
 		grown = (from + (1-from)*min(1, float64(age)/float64(warm))) / from
 	}
-	return o.logged()+units <= grown*get[float64](s.set, "cold.units")/float64(max(get[int](s.set, "hosts"), 1))
+	part, used := grown*get[float64](s.set, "cold.units")/float64(max(get[int](s.set, "hosts"), 1)), o.logged()
+	taken := s.demand.rate() * window.Seconds() / float64(max(s.running, 1))
+	return used+units <= part || part < get[float64](s.set, "units.mean") && used == 0 && lot*taken < part
 }
 
 // ---- Sending and answering ----
--- a/policy/state.go
+++ b/policy/state.go
@@ -70,6 +70,7 @@
 type op struct {
 	honeyplank.Op
 	target time.Duration // clock time at which its target latency is over
+	lot    float64       // its own draw from [0, 1), for shares smaller than an op
 	sends  []send
 	begun  bool
 	over   bool // answered or gone, kept while a dispatch has no outcome
@@ -118,6 +119,21 @@
 	return time.Duration((m.total + c) / m.sum * float64(time.Millisecond))
 }
 
+// flow is a decayed rate: units over the time in which they came.
+type flow struct {
+	units, time float64
+	last        time.Duration
+}
+
+func (f *flow) add(now time.Duration, units float64, memory time.Duration) {
+	gap := (now - f.last).Seconds()
+	keep := math.Exp(-gap / max(memory.Seconds(), gap, 1e-9))
+	f.units, f.time, f.last = f.units*keep+units, f.time*keep+gap, now
+}
+
+// rate is in units a second, without end while nothing is known.
+func (f *flow) rate() float64 { return f.units / f.time }
+
 // blend moves a mean towards a new value, which is the mean while there is none.
 func blend(mean, x, weight float64) float64 {
 	if mean == 0 {
@@ -216,6 +232,8 @@
 	out     []honeyplank.Action
 	osds    map[honeyplank.OSDID]*osd
 	order   []*osd // by id
+	running int    // how many are listed as on
+	demand  flow   // units taken
 	ops     map[honeyplank.OpID]*op
 	held    []*op // in the order taken; also those with no disk server
 	volumes map[int64]*volume
