--- a/policy/policy.go
+++ b/policy/policy.go
@@ -429,16 +429,18 @@
 			window = max(past*window, past)
 		}
 	}
-	return o.out == 0 || float64(o.out) < window
+	return float64(o.out)+p.lot < window
 }
 
 // places is what the node's latency leaves of the window for ops that may take a part of the target latency.
 func (s *Scheduler) places(o *osd, part float64) float64 {
 	shortest, _ := s.targets()
-	if o.latency <= 0 || shortest <= 0 {
+	latency := s.latency(o)
+	if latency <= 0 || shortest <= 0 {
 		return o.window
 	}
-	return o.window * min(1, part*shortest.Seconds()/o.latency)
+	places := o.window * min(1, part*shortest.Seconds()/latency)
+	return min(places, places*places)
 }
 
 // ---- What is due to a volume ----
@@ -645,7 +647,7 @@
 	if p.osd == nil {
 		return s.now >= p.target
 	}
-	return s.now+time.Duration(p.osd.latency*float64(time.Second)) >= p.target
+	return s.now+time.Duration(s.latency(p.osd)*float64(time.Second)) >= p.target
 }
 
 // answer gives an op up at once.
@@ -668,7 +670,7 @@
 func (s *Scheduler) measure(o *osd, p *op, e honeyplank.Outcome) {
 	o.credit = min(o.credit+creditEarned, creditMost)
 	o.failing -= blending * o.failing
-	o.latency = blend(o.latency, e.Elapsed.Seconds(), blending)
+	s.learn(o, e.Elapsed)
 	o.perUnit = blend(o.perUnit, e.Elapsed.Seconds()/max(p.Units, 1), blending)
 	if o.best == 0 || o.perUnit < o.best {
 		o.best = o.perUnit
@@ -687,6 +689,22 @@
 	q.lastSeen = s.now
 }
 
+// learn takes in how long an answer took: the longer ago the node's last one came, the more it counts.
+func (s *Scheduler) learn(o *osd, took time.Duration) {
+	o.latency = blend(s.latency(o), took.Seconds(), max(blending, 1-s.fresh(o)))
+	s.usual, o.told = blend(s.usual, took.Seconds(), blending), s.now
+}
+
+// fresh is what is left of the weight of a node's last answer.
+func (s *Scheduler) fresh(o *osd) float64 {
+	_, longest := s.targets()
+	return math.Exp(-(s.now - o.told).Seconds() / max(longest.Seconds(), s.sweepEvery().Seconds()))
+}
+
+// latency is how long a node's answers take, as far as this host can tell by now: what it saw there gives way
+// to what it sees everywhere, since with many hosts answers of one node are rare.
+func (s *Scheduler) latency(o *osd) float64 { return s.usual + (o.latency-s.usual)*s.fresh(o) }
+
 func (s *Scheduler) blame(o *osd, _ *op, _ honeyplank.Outcome) {
 	o.failing += blending * (1 - o.failing)
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -24,6 +24,7 @@
 	out     int           // ops of this host that are out here
 	oldest  time.Duration // since when something has been out without any answer
 	latency float64       // recent answer time, in seconds
+	told    time.Duration // when latency last took something in
 	perUnit float64       // recent answer time for each unit of size, in seconds
 	best    float64       // the best of perUnit, slowly forgotten
 	answers float64       // answers since the window last grew
@@ -231,9 +232,10 @@
 	started bool
 	out     []honeyplank.Action
 	osds    map[honeyplank.OSDID]*osd
-	order   []*osd // by id
-	running int    // how many are listed as on
-	demand  flow   // units taken
+	order   []*osd  // by id
+	running int     // how many are listed as on
+	demand  flow    // units taken
+	usual   float64 // recent answer time of all nodes, in seconds
 	ops     map[honeyplank.OpID]*op
 	held    []*op // in the order taken; also those with no disk server
 	volumes map[int64]*volume
