--- a/policy/policy.go
+++ b/policy/policy.go
@@ -238,6 +238,9 @@
 	p.osd, p.queue = home, home.queueOf(p.volume)
 	p.queue.held = append(p.queue.held, p)
 	p.queue.lastSeen = s.now
+	if _, longest := s.targets(); len(p.sends) == 0 {
+		p.queue.demand.add(s.now, p.Units, 2*longest)
+	}
 }
 
 // sounder compares two holders of the same data: the healthier, then the one that has run for longer.
@@ -429,7 +432,21 @@
 			window = max(past*window, past)
 		}
 	}
-	return float64(o.out)+p.lot < window
+	if o.out > 0 || window >= 1 {
+		return float64(o.out)+p.lot < window
+	}
+	return p.lot*s.excess(p) < window/(1-window)
+}
+
+// excess is how far a volume asks for more at a node than others do by its weight, as seen by this host.
+func (s *Scheduler) excess(p *op) float64 {
+	_, longest := s.targets()
+	usual := mean(get[[]float64](s.set, "plans.rate")) / float64(p.volume.hosts)
+	weight := pick[float64](s.set, "plans.weight", p.Plan) / mean(get[[]float64](s.set, "plans.weight"))
+	if !(usual > 0 && weight > 0) || p.queue == nil {
+		return 1
+	}
+	return p.queue.demand.near(usual, 2*longest) / usual / weight
 }
 
 // places is what the node's latency leaves of the window for ops that may take a part of the target latency.
--- a/policy/state.go
+++ b/policy/state.go
@@ -51,6 +51,7 @@
 	volume   *volume
 	await    average // completion gaps
 	thinkt   average // arrival gaps
+	demand   flow    // units taken
 	held     []*op
 	round    int // the round in which it was last served
 	lastSeen time.Duration
@@ -135,6 +136,11 @@
 // rate is in units a second, without end while nothing is known.
 func (f *flow) rate() float64 { return f.units / f.time }
 
+// near is the rate drawn towards a figure, which counts as if seen for a time.
+func (f *flow) near(figure float64, memory time.Duration) float64 {
+	return (f.units + figure*memory.Seconds()) / max(f.time+memory.Seconds(), 1e-9)
+}
+
 // blend moves a mean towards a new value, which is the mean while there is none.
 func blend(mean, x, weight float64) float64 {
 	if mean == 0 {
