--- a/policy/policy.go
+++ b/policy/policy.go
@@ -435,6 +435,9 @@
 	if o.out > 0 || window >= 1 {
 		return float64(o.out)+p.lot < window
 	}
+	if s.due(p) {
+		return p.lot < window/(1-window)
+	}
 	return p.lot*s.excess(p) < window/(1-window)
 }
 
@@ -457,7 +460,7 @@
 		return o.window
 	}
 	places := o.window * min(1, part*shortest.Seconds()/latency)
-	return min(places, places*places)
+	return min(places, places*places*places)
 }
 
 // ---- What is due to a volume ----
