--- a/policy/policy.go
+++ b/policy/policy.go
@@ -718,7 +718,7 @@
 // fresh is what is left of the weight of a node's last answer.
 func (s *Scheduler) fresh(o *osd) float64 {
 	_, longest := s.targets()
-	return math.Exp(-(s.now - o.told).Seconds() / max(longest.Seconds(), s.sweepEvery().Seconds()))
+	return math.Exp(-(s.now - o.told).Seconds() / max(4*longest.Seconds(), s.sweepEvery().Seconds()))
 }
 
 // latency is how long a node's answers take, as far as this host can tell by now: what it saw there gives way
