--- a/policy/policy.go
+++ b/policy/policy.go
@@ -419,11 +419,8 @@
 // less to ops beyond the reserve. It guards against windows of many hosts adding up past what a node serves
 // in time, and should hold against slow and crowded nodes too. It could harm where long ops are the rule.
 func (s *Scheduler) room(o *osd, p *op) bool {
-	switch o.health {
-	case down:
+	if o.health == down || o.health == trial && o.out > 0 && s.now-o.oldest <= o.rest {
 		return false
-	case trial:
-		return o.out == 0 || s.now-o.oldest > o.rest
 	}
 	window := s.places(o, spareOfTarget)
 	if s.due(p) {
@@ -718,7 +715,7 @@
 // fresh is what is left of the weight of a node's last answer.
 func (s *Scheduler) fresh(o *osd) float64 {
 	_, longest := s.targets()
-	return math.Exp(-(s.now - o.told).Seconds() / max(4*longest.Seconds(), s.sweepEvery().Seconds()))
+	return math.Exp(-(s.now - o.told).Seconds() / max(longest.Seconds(), s.sweepEvery().Seconds()))
 }
 
 // latency is how long a node's answers take, as far as this host can tell by now: what it saw there gives way
