--- a/policy/policy.go
+++ b/policy/policy.go
@@ -189,9 +189,13 @@
 		s.patient[e.Type] = max(s.patient[e.Type], left)
 		waited = s.patient[e.Type] - left
 	}
+	target := s.now + pick[time.Duration](s.set, "optypes.target_latency", e.Type)
+	if e.Timeout < target && !e.Retry { // a client in a hurry, not one that has waited for long
+		target, waited = e.Timeout, 0
+	}
 	_, longest := s.targets()
 	s.demand.add(s.now, e.Units, 2*longest)
-	p := &op{Op: e, lot: s.rng.Float64(), target: s.now + pick[time.Duration](s.set, "optypes.target_latency", e.Type) - waited}
+	p := &op{Op: e, lot: s.rng.Float64(), target: target - waited}
 	s.ops[e.ID] = p
 	if e.Keyed && pick[bool](s.set, "optypes.ordered", e.Type) {
 		s.line(p)
