Time-outs and full queues raise the latency belief

Cause: only answers that came counted, so a node whose ops all ran out looked well. Up to the shortest target latency, since past that the answer may be lost.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -426,6 +426,9 @@
 	if o.health == down || o.health == trial && o.out > 0 && s.now-o.oldest <= o.rest {
 		return false
 	}
+	if s.now+time.Duration(s.latency(o)*float64(time.Second)) >= p.Timeout { // the client would be gone
+		return false
+	}
 	window := s.places(o, spareOfTarget)
 	if s.due(p) {
 		window = s.places(o, dueOfTarget)
@@ -598,7 +601,7 @@
 	honeyplank.Acked:       {maybe: true, answered: true, effect: (*Scheduler).measure},
 	honeyplank.Errored:     {maybe: true, answered: true, effect: (*Scheduler).blame},
 	honeyplank.Full:        {answered: true, effect: (*Scheduler).crowded},
-	honeyplank.TimedOut:    {maybe: true, runs: true},
+	honeyplank.TimedOut:    {maybe: true, runs: true, effect: (*Scheduler).ranOut},
 	honeyplank.Unconnected: {lost: true},
 	honeyplank.Reset:       {maybe: true, runs: true, lost: true},
 	honeyplank.Cancelled:   {maybe: true, runs: true},
@@ -726,11 +729,24 @@
 // to what it sees everywhere, since with many hosts answers of one node are rare.
 func (s *Scheduler) latency(o *osd) float64 { return s.usual + (o.latency-s.usual)*s.fresh(o) }
 
+// ranOut takes a time-out for an answer that takes at least as long, up to the shortest target latency:
+// past that it may be lost rather than late.
+func (s *Scheduler) ranOut(o *osd, _ *op, e honeyplank.Outcome) {
+	shortest, _ := s.targets()
+	if least := min(e.Elapsed, shortest); least.Seconds() > s.latency(o) {
+		s.learn(o, least)
+	}
+}
+
 func (s *Scheduler) blame(o *osd, _ *op, _ honeyplank.Outcome) {
 	o.failing += blending * (1 - o.failing)
 }
 
-func (s *Scheduler) crowded(o *osd, _ *op, _ honeyplank.Outcome) {
+func (s *Scheduler) crowded(o *osd, p *op, e honeyplank.Outcome) {
+	if e.Code == honeyplank.Full {
+		_, longest := s.targets()
+		s.learn(o, longest)
+	}
 	o.window = max(floor, o.window/2)
 }
 
