--- a/policy/policy.go
+++ b/policy/policy.go
@@ -694,8 +694,7 @@
 func (s *Scheduler) measure(o *osd, p *op, e honeyplank.Outcome) {
 	o.credit = min(o.credit+creditEarned, creditMost)
 	o.failing -= blending * o.failing
-	usual := get[float64](s.set, "units.mean") // the time of an op of the mean size
-	s.learn(o, e.Elapsed-time.Duration(o.best*(p.Units-usual)*float64(time.Second)))
+	s.learn(o, e.Elapsed)
 	o.perUnit = blend(o.perUnit, e.Elapsed.Seconds()/max(p.Units, 1), blending)
 	if o.best == 0 || o.perUnit < o.best {
 		o.best = o.perUnit
@@ -714,23 +713,21 @@
 	q.lastSeen = s.now
 }
 
-// learn takes in how long an answer took: the longer ago the node's last one came, the more it counts, up to
-// a half. Means are geometric, since one long op or pause says little.
+// learn takes in how long an answer took: the longer ago the node's last one came, the more it counts.
 func (s *Scheduler) learn(o *osd, took time.Duration) {
-	x := max(took, s.sweepEvery()).Seconds()
-	o.latency = mix(s.latency(o), x, max(blending, (1-s.fresh(o))/2))
-	s.usual, o.told = mix(s.usual, x, blending), s.now
+	o.latency = blend(s.latency(o), took.Seconds(), max(blending, 1-s.fresh(o)))
+	s.usual, o.told = blend(s.usual, took.Seconds(), blending), s.now
 }
 
 // fresh is what is left of the weight of a node's last answer.
 func (s *Scheduler) fresh(o *osd) float64 {
 	_, longest := s.targets()
-	return math.Exp(-(s.now - o.told).Seconds() / max(longest, s.sweepEvery()).Seconds())
+	return math.Exp(-(s.now - o.told).Seconds() / max(longest.Seconds(), s.sweepEvery().Seconds()))
 }
 
 // latency is how long a node's answers take, as far as this host can tell by now: what it saw there gives way
 // to what it sees everywhere, since with many hosts answers of one node are rare.
-func (s *Scheduler) latency(o *osd) float64 { return mix(s.usual, o.latency, s.fresh(o)) }
+func (s *Scheduler) latency(o *osd) float64 { return s.usual + (o.latency-s.usual)*s.fresh(o) }
 
 // ranOut takes a time-out for an answer that takes at least as long, up to the shortest target latency:
 // past that it may be lost rather than late.
--- a/policy/state.go
+++ b/policy/state.go
@@ -149,14 +149,6 @@
 	return mean + weight*(x-mean)
 }
 
-// mix is blend for geometric means.
-func mix(mean, x, weight float64) float64 {
-	if mean <= 0 || x <= 0 {
-		return max(mean, x)
-	}
-	return mean * math.Pow(x/mean, weight)
-}
-
 func mean(list []float64) (m float64) {
 	for _, x := range list {
 		m += x / float64(len(list))
