--- a/policy/policy.go
+++ b/policy/policy.go
@@ -27,7 +27,7 @@
 	failingTooMuch   = 0.2 // share of errors at which new objects go elsewhere
 	restGrows        = 2.0
 	bestForgets      = 1.0 / 256
-	slack            = 2 // sweeps before the op timeout at which a held op is given up
+	slack            = 1 // sweeps before the op timeout at which a held op is given up
 )
 
 // New makes an instance that knows nothing yet.
@@ -426,7 +426,7 @@
 	if o.health == down || o.health == trial && o.out > 0 && s.now-o.oldest <= o.rest {
 		return false
 	}
-	if s.now+time.Duration(s.latency(o)*float64(time.Second)) >= p.Timeout { // the client would be gone
+	if s.now+s.soonest(o) >= p.Timeout { // the client would be gone
 		return false
 	}
 	window := s.places(o, spareOfTarget)
@@ -671,7 +671,7 @@
 	if p.osd == nil {
 		return s.now >= p.target
 	}
-	return s.now+time.Duration(s.latency(p.osd)*float64(time.Second)) >= p.target
+	return s.now+s.soonest(p.osd) >= p.target
 }
 
 // answer gives an op up at once.
@@ -729,6 +729,11 @@
 // to what it sees everywhere, since with many hosts answers of one node are rare.
 func (s *Scheduler) latency(o *osd) float64 { return s.usual + (o.latency-s.usual)*s.fresh(o) }
 
+// soonest is when an answer of a node is worth hoping for: many come in half of their mean time.
+func (s *Scheduler) soonest(o *osd) time.Duration {
+	return time.Duration(s.latency(o) / 2 * float64(time.Second))
+}
+
 // ranOut takes a time-out for an answer that takes at least as long, up to the shortest target latency:
 // past that it may be lost rather than late.
 func (s *Scheduler) ranOut(o *osd, _ *op, e honeyplank.Outcome) {
