--- a/policy/policy.go
+++ b/policy/policy.go
@@ -193,14 +193,17 @@
 	if e.Timeout < target && !e.Retry { // a client in a hurry, not one that has waited for long
 		target, waited = e.Timeout, 0
 	}
-	_, longest := s.targets()
-	s.demand.add(s.now, e.Units, 2*longest)
 	p := &op{Op: e, lot: s.rng.Float64(), target: target - waited}
 	s.ops[e.ID] = p
 	if e.Keyed && pick[bool](s.set, "optypes.ordered", e.Type) {
 		s.line(p)
 	}
 	s.open(p)
+	_, longest := s.targets()
+	s.demand.add(s.now, e.Units, 2*longest)
+	if s.dueDemand.add(s.now, 0, 2*longest); s.due(p) {
+		s.dueDemand.add(s.now, e.Units, 2*longest)
+	}
 	if s.house(p); p.queue != nil {
 		p.queue.thinkt.gap(s.now, avgA, avgB)
 		s.pump(p.osd)
@@ -255,7 +258,7 @@
 // sound tells whether a disk server may be given new objects: not where errors come back fast, which would
 // otherwise look like room, nor where it is cold or down. It could harm when most servers fail at once.
 func (s *Scheduler) sound(o *osd) bool {
-	return o.failing < failingTooMuch && (o.health == up || o.health == trial && o.out == 0) && s.coldRoom(o, 1, 1)
+	return o.failing < failingTooMuch && (o.health == up || o.health == trial && o.out == 0) && s.coldRoom(o, 1, 1, false)
 }
 
 // ---- Slices (iShare) ----
@@ -501,7 +504,7 @@
 	if n == 0 && pick[float64](s.set, "plans.limit", v.plan) > 0 && v.limit < p.Units {
 		return false
 	}
-	return s.turnOf(p) && s.coldRoom(o, p.Units, p.lot)
+	return s.turnOf(p) && s.coldRoom(o, p.Units, p.lot, s.due(p))
 }
 
 // repeats tells whether the kind of an op allows another dispatch at this disk server.
@@ -558,7 +561,7 @@
 // host takes for a node is known from its ops for all. It guards against pushing the server over, by any
 // number of hosts, and harms where few of them have ops for it; where all of a fleet's ops are for one cold
 // server, chance alone would not hold.
-func (s *Scheduler) coldRoom(o *osd, units, lot float64) bool {
+func (s *Scheduler) coldRoom(o *osd, units, lot float64, due bool) bool {
 	window, warm := get[time.Duration](s.set, "cold.window"), get[time.Duration](s.set, "cold.time")
 	o.trim(s.now - window)
 	if o.Started <= 0 || window <= 0 || s.now >= o.Started+warm+window {
@@ -570,8 +573,15 @@
 		grown = (from + (1-from)*min(1, float64(age)/float64(warm))) / from
 	}
 	part, used := grown*get[float64](s.set, "cold.units")/float64(max(get[int](s.set, "hosts"), 1)), o.logged()
-	taken := s.demand.rate() * window.Seconds() / float64(max(s.running, 1))
-	return used+units <= part || part < get[float64](s.set, "units.mean") && used == 0 && lot*taken < part
+	if used+units <= part || part >= get[float64](s.set, "units.mean") || used > 0 {
+		return used+units <= part
+	}
+	each := window.Seconds() / float64(max(s.running, 1))
+	taken, first := s.demand.rate()*each, s.dueDemand.rate()*each
+	if due {
+		return lot*first < part
+	}
+	return lot*(taken-first) < part-first
 }
 
 // ---- Sending and answering ----
--- a/policy/state.go
+++ b/policy/state.go
@@ -231,27 +231,28 @@
 
 // Scheduler is one instance. It shares nothing with others.
 type Scheduler struct {
-	set     map[string]any
-	rng     *rand.Rand
-	now     time.Duration
-	born    time.Duration
-	started bool
-	out     []honeyplank.Action
-	osds    map[honeyplank.OSDID]*osd
-	order   []*osd  // by id
-	running int     // how many are listed as on
-	demand  flow    // units taken
-	usual   float64 // recent answer time of all nodes, in seconds
-	ops     map[honeyplank.OpID]*op
-	held    []*op // in the order taken; also those with no disk server
-	volumes map[int64]*volume
-	keys    map[int64]*key
-	taken   []time.Duration // ops taken, for the budget
-	extras  []time.Duration // further dispatches, for the budget
-	patient []time.Duration // by op type: the longest that a client was seen to wait
-	watched bool
-	asked   time.Duration
-	backoff time.Duration
+	set       map[string]any
+	rng       *rand.Rand
+	now       time.Duration
+	born      time.Duration
+	started   bool
+	out       []honeyplank.Action
+	osds      map[honeyplank.OSDID]*osd
+	order     []*osd  // by id
+	running   int     // how many are listed as on
+	demand    flow    // units taken
+	dueDemand flow    // those inside their reserves
+	usual     float64 // recent answer time of all nodes, in seconds
+	ops       map[honeyplank.OpID]*op
+	held      []*op // in the order taken; also those with no disk server
+	volumes   map[int64]*volume
+	keys      map[int64]*key
+	taken     []time.Duration // ops taken, for the budget
+	extras    []time.Duration // further dispatches, for the budget
+	patient   []time.Duration // by op type: the longest that a client was seen to wait
+	watched   bool
+	asked     time.Duration
+	backoff   time.Duration
 }
 
 func (s *Scheduler) act(a honeyplank.Action) { s.out = append(s.out, a) }
