--- a/policy/policy.go
+++ b/policy/policy.go
@@ -19,7 +19,7 @@
 	near, past       = 1.5, 2.0          // latency near its best, and far past it
 	sliceOfTarget    = 0.25              // a round of slices lasts this part of the shortest target latency
 	spareOfTarget    = 0.0625            // latency that leaves room for ops beyond the reserve
-	dueOfTarget      = 0.25              // the same for ops within the reserve
+	dueOfTarget      = 0.125             // the same for ops within the reserve
 	sweepOfTarget    = 1.0 / 20          // how often held ops are looked at
 	blending         = 1.0 / 8           // weight of the newest answer in a recent mean
 	creditEarned     = 1.0               // of a further dispatch, for each answer
@@ -472,12 +472,18 @@
 
 // ---- What is due to a volume ----
 
-// fillUp brings the volume's stores up to now: of reserve and limit this host counts an even part.
+// fillUp brings the volume's stores up to now. Of the limit this host counts an even part; of the reserve its
+// part of what the volume is served, at least an even one.
 func (s *Scheduler) fillUp(v *volume) {
 	gap, hosts := (s.now - v.filled).Seconds(), float64(v.hosts)
 	v.filled = s.now
 	reserve, limit := pick[float64](s.set, "plans.reserve", v.plan), pick[float64](s.set, "plans.limit", v.plan)
-	v.reserve = min(v.reserve+gap*reserve/hosts, (reserve+get[float64](s.set, "units.largest"))/hosts)
+	part := reserve / hosts
+	if v.total > 0 {
+		v.served.add(s.now, 0, 2*get[time.Duration](s.set, "meter.period"))
+		part = max(part, min(reserve, reserve*v.served.rate()/v.total))
+	}
+	v.reserve = min(v.reserve+gap*part, (reserve+get[float64](s.set, "units.largest"))/hosts)
 	v.limit = min(v.limit+gap*limit/hosts, pick[float64](s.set, "plans.burst", v.plan)/hosts)
 }
 
@@ -594,7 +600,9 @@
 	} else {
 		v.limit -= p.Units
 	}
-	v.reserve -= p.Units
+	if v.reserve > 0 { // what goes beyond the reserve leaves no debt
+		v.reserve -= p.Units
+	}
 	if o.out == 0 || o.health == trial {
 		o.oldest = s.now
 	}
@@ -721,6 +729,11 @@
 	q := o.queueOf(p.volume)
 	q.await.gap(s.now, avgA, avgB)
 	q.lastSeen = s.now
+	v := p.volume
+	v.served.add(s.now, p.Units, 2*get[time.Duration](s.set, "meter.period"))
+	if e.Used > 0 {
+		v.total = float64(e.Used-1) / 100 * pick[float64](s.set, "plans.rate", v.plan)
+	}
 }
 
 // learn takes in how long an answer took: the longer ago the node's last one came, the more it counts.
