--- a/policy/state.go
+++ b/policy/state.go
@@ -64,7 +64,6 @@
 	reserve  float64 // units of the reserve left
 	limit    float64 // units of this host's part of the limit left
 	filled   time.Duration
-	served   flow    // units this host was served
 	total    float64 // units a second served everywhere, by the late meter
 	open     int     // ops taken and not over
 	lastSeen time.Duration
@@ -130,8 +129,12 @@
 }
 
 func (f *flow) add(now time.Duration, units float64, memory time.Duration) {
+	memory = max(memory, time.Millisecond)
+	if f.time == 0 { // as if nothing had come for as long as it remembers
+		f.last = now - memory
+	}
 	gap := (now - f.last).Seconds()
-	keep := math.Exp(-gap / max(memory.Seconds(), gap, 1e-9))
+	keep := math.Exp(-gap / memory.Seconds())
 	f.units, f.time, f.last = f.units*keep+units, f.time*keep+gap, now
 }
 
