--- a/policy/policy.go
+++ b/policy/policy.go
@@ -467,7 +467,12 @@
 		return o.window
 	}
 	places := o.window * min(1, part*shortest.Seconds()/latency)
-	return min(places, places*places*places)
+	if places >= 1 {
+		return places
+	}
+	// A node that is hardly busy has one place, however long its ops take.
+	places = min(1, max(places, past*o.best*get[float64](s.set, "units.mean")/latency))
+	return places * places * places
 }
 
 // ---- What is due to a volume ----
