--- a/policy/policy.go
+++ b/policy/policy.go
@@ -472,7 +472,7 @@
 	}
 	// A node that is hardly busy has one place, however long its ops take.
 	places = min(1, max(places, past*o.best*get[float64](s.set, "units.mean")/latency))
-	return places * places * places
+	return places * places
 }
 
 // ---- What is due to a volume ----
