--- a/policy/policy.go
+++ b/policy/policy.go
@@ -199,10 +199,11 @@
 		s.line(p)
 	}
 	s.open(p)
-	_, longest := s.targets()
-	s.demand.add(s.now, e.Units, 2*longest)
-	if s.dueDemand.add(s.now, 0, 2*longest); s.due(p) {
-		s.dueDemand.add(s.now, e.Units, 2*longest)
+	if _, longest := s.targets(); p.Cell != honeyplank.NewObject {
+		s.demand.add(s.now, e.Units, 2*longest)
+		if s.dueDemand.add(s.now, 0, 2*longest); s.due(p) {
+			s.dueDemand.add(s.now, e.Units, 2*longest)
+		}
 	}
 	if s.house(p); p.queue != nil {
 		p.queue.thinkt.gap(s.now, avgA, avgB)
@@ -472,7 +473,7 @@
 	}
 	// A node that is hardly busy has one place, however long its ops take.
 	places = min(1, max(places, past*o.best*get[float64](s.set, "units.mean")/latency))
-	return places * places
+	return places
 }
 
 // ---- What is due to a volume ----
