--- a/policy/policy.go
+++ b/policy/policy.go
@@ -473,7 +473,7 @@
 	}
 	// A node that is hardly busy has one place, however long its ops take.
 	places = min(1, max(places, past*o.best*get[float64](s.set, "units.mean")/latency))
-	return places
+	return places * places
 }
 
 // ---- What is due to a volume ----
@@ -741,7 +741,11 @@
 
 // learn takes in how long an answer took: the longer ago the node's last one came, the more it counts.
 func (s *Scheduler) learn(o *osd, took time.Duration) {
-	o.latency = blend(s.latency(o), took.Seconds(), max(blending, 1-s.fresh(o)))
+	weight := blending
+	if took.Seconds() < s.latency(o) { // a short answer means a short queue; a long one may be a pause
+		weight = past * blending
+	}
+	o.latency = blend(s.latency(o), took.Seconds(), max(weight, 1-s.fresh(o)))
 	s.usual, o.told = blend(s.usual, took.Seconds(), blending), s.now
 }
 
