--- a/policy/policy.go
+++ b/policy/policy.go
@@ -441,7 +441,7 @@
 		}
 	}
 	if o.out > 0 || window >= 1 {
-		return float64(o.out)+p.lot < window
+		return float64(o.out) < window
 	}
 	if s.due(p) {
 		return p.lot < window/(1-window)
@@ -471,9 +471,9 @@
 	if places >= 1 {
 		return places
 	}
-	// A node that is hardly busy has one place, however long its ops take.
-	places = min(1, max(places, past*o.best*get[float64](s.set, "units.mean")/latency))
-	return places * places
+	// One op of each host is no harm where the node serves them all within the target latency.
+	even := shortest.Seconds() / (float64(max(get[int](s.set, "hosts"), 1)) * o.best * get[float64](s.set, "units.mean"))
+	return min(1, max(places*places*places, even))
 }
 
 // ---- What is due to a volume ----
@@ -741,11 +741,7 @@
 
 // learn takes in how long an answer took: the longer ago the node's last one came, the more it counts.
 func (s *Scheduler) learn(o *osd, took time.Duration) {
-	weight := blending
-	if took.Seconds() < s.latency(o) { // a short answer means a short queue; a long one may be a pause
-		weight = past * blending
-	}
-	o.latency = blend(s.latency(o), took.Seconds(), max(weight, 1-s.fresh(o)))
+	o.latency = blend(s.latency(o), took.Seconds(), max(blending, 1-s.fresh(o)))
 	s.usual, o.told = blend(s.usual, took.Seconds(), blending), s.now
 }
 
