--- a/policy/policy.go
+++ b/policy/policy.go
@@ -27,7 +27,7 @@
 	failingTooMuch   = 0.2 // share of errors at which new objects go elsewhere
 	restGrows        = 2.0
 	bestForgets      = 1.0 / 256
-	slack            = 2 // sweeps before the op timeout at which a held op is given up
+	slack            = 1 // sweeps before the op timeout at which a held op is given up
 )
 
 // New makes an instance that knows nothing yet.
@@ -472,7 +472,7 @@
 		return places
 	}
 	// One op of each host is no harm where the node serves them all within the target latency.
-	even := shortest.Seconds() / (float64(max(get[int](s.set, "hosts"), 1)) * o.best * get[float64](s.set, "units.mean"))
+	even := past * shortest.Seconds() / (float64(max(get[int](s.set, "hosts"), 1)) * o.best * get[float64](s.set, "units.mean"))
 	return min(1, max(places*places*places, even))
 }
 
@@ -757,7 +757,7 @@
 
 // soonest is when an answer of a node is worth hoping for: many come in half of their mean time.
 func (s *Scheduler) soonest(o *osd) time.Duration {
-	return time.Duration(s.latency(o) * float64(time.Second))
+	return time.Duration(s.latency(o) / 2 * float64(time.Second))
 }
 
 // ranOut takes a time-out for an answer that takes at least as long, up to the shortest target latency:
