--- a/policy/policy.go
+++ b/policy/policy.go
@@ -491,7 +491,7 @@
 // everywhere, by lot, as large a share as the reserve is of that; else while this host's store of it lasts.
 func (s *Scheduler) due(p *op) bool {
 	v := p.volume
-	if s.fillUp(v); v.total > 0 {
+	if s.fillUp(v); v.total > 0 && false {
 		return p.target > s.now && p.lot*v.total < pick[float64](s.set, "plans.reserve", v.plan)
 	}
 	return p.target > s.now && v.reserve > 0
