--- a/policy/policy.go
+++ b/policy/policy.go
@@ -491,7 +491,7 @@
 // everywhere, by lot, as large a share as the reserve is of that; else while this host's store of it lasts.
 func (s *Scheduler) due(p *op) bool {
 	v := p.volume
-	if s.fillUp(v); v.total > 0 && false {
+	if s.fillUp(v); v.total > 0 {
 		return p.target > s.now && p.lot*v.total < pick[float64](s.set, "plans.reserve", v.plan)
 	}
 	return p.target > s.now && v.reserve > 0
@@ -623,7 +623,7 @@
 	honeyplank.Acked:       {maybe: true, answered: true, effect: (*Scheduler).measure},
 	honeyplank.Errored:     {maybe: true, answered: true, effect: (*Scheduler).blame},
 	honeyplank.Full:        {answered: true, effect: (*Scheduler).crowded},
-	honeyplank.TimedOut:    {maybe: true, runs: true, effect: (*Scheduler).ranOut},
+	honeyplank.TimedOut:    {maybe: true, runs: true},
 	honeyplank.Unconnected: {lost: true},
 	honeyplank.Reset:       {maybe: true, runs: true, lost: true},
 	honeyplank.Cancelled:   {maybe: true, runs: true},
