--- a/policy/policy.go
+++ b/policy/policy.go
@@ -478,23 +478,25 @@
 
 // ---- What is due to a volume ----
 
-// fillUp brings the volume's stores up to now: of reserve and limit this host counts an even part.
+// fillUp brings the volume's stores up to now. Of the limit this host counts an even part; of the reserve its
+// part of what the volume is served, at least an even one.
 func (s *Scheduler) fillUp(v *volume) {
 	gap, hosts := (s.now - v.filled).Seconds(), float64(v.hosts)
 	v.filled = s.now
 	reserve, limit := pick[float64](s.set, "plans.reserve", v.plan), pick[float64](s.set, "plans.limit", v.plan)
-	v.reserve = min(v.reserve+gap*reserve/hosts, (reserve+get[float64](s.set, "units.largest"))/hosts)
+	part := reserve / hosts
+	if v.total > 0 {
+		v.served.add(s.now, 0, 2*get[time.Duration](s.set, "meter.period"))
+		part = max(part, reserve*min(1, v.served.rate()/v.total))
+	}
+	v.reserve = min(v.reserve+gap*part, (reserve+get[float64](s.set, "units.largest"))/hosts)
 	v.limit = min(v.limit+gap*limit/hosts, pick[float64](s.set, "plans.burst", v.plan)/hosts)
 }
 
-// due tells whether an op is inside its volume's reserve: where a meter tells what the volume is served
-// everywhere, by lot, as large a share as the reserve is of that; else while this host's store of it lasts.
+// due tells whether an op is inside its volume's reserve, as far as this host's store of it lasts.
 func (s *Scheduler) due(p *op) bool {
-	v := p.volume
-	if s.fillUp(v); v.total > 0 {
-		return p.target > s.now && p.lot*v.total < pick[float64](s.set, "plans.reserve", v.plan)
-	}
-	return p.target > s.now && v.reserve > 0
+	s.fillUp(p.volume)
+	return p.target > s.now && p.volume.reserve > 0
 }
 
 // ---- Rules ----
@@ -623,7 +625,7 @@
 	honeyplank.Acked:       {maybe: true, answered: true, effect: (*Scheduler).measure},
 	honeyplank.Errored:     {maybe: true, answered: true, effect: (*Scheduler).blame},
 	honeyplank.Full:        {answered: true, effect: (*Scheduler).crowded},
-	honeyplank.TimedOut:    {maybe: true, runs: true},
+	honeyplank.TimedOut:    {maybe: true, runs: true, effect: (*Scheduler).ranOut},
 	honeyplank.Unconnected: {lost: true},
 	honeyplank.Reset:       {maybe: true, runs: true, lost: true},
 	honeyplank.Cancelled:   {maybe: true, runs: true},
@@ -734,6 +736,7 @@
 	q.await.gap(s.now, avgA, avgB)
 	q.lastSeen = s.now
 	v := p.volume
+	v.served.add(s.now, p.Units, 2*get[time.Duration](s.set, "meter.period"))
 	if e.Used > 0 {
 		v.total = float64(e.Used-1) / 100 * pick[float64](s.set, "plans.rate", v.plan)
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -64,6 +64,7 @@
 	reserve  float64 // units of the reserve left
 	limit    float64 // units of this host's part of the limit left
 	filled   time.Duration
+	served   flow    // units this host was served
 	total    float64 // units a second served everywhere, by the late meter
 	open     int     // ops taken and not over
 	lastSeen time.Duration
