--- a/policy/policy.go
+++ b/policy/policy.go
@@ -471,11 +471,9 @@
 	if places >= 1 {
 		return places
 	}
-	// One op of each host is no harm while latency is near its best, nor where the node serves them all within
-	// the target latency, two at a time.
-	best := o.best * get[float64](s.set, "units.mean")
-	even := past * shortest.Seconds() / (float64(max(get[int](s.set, "hosts"), 1)) * best)
-	return min(1, max(math.Pow(max(places, near*best/latency), 3), even))
+	// One op of each host is no harm where the node serves them all within the target latency.
+	even := past * shortest.Seconds() / (float64(max(get[int](s.set, "hosts"), 1)) * o.best * get[float64](s.set, "units.mean"))
+	return min(1, max(places*places*places, even))
 }
 
 // ---- What is due to a volume ----
