--- a/policy/policy.go
+++ b/policy/policy.go
@@ -446,7 +446,7 @@
 	if s.due(p) {
 		return p.lot < window/(1-window)
 	}
-	return p.lot < window/(1-window)
+	return p.lot*s.excess(p) < window/(1-window)
 }
 
 // excess is how far a volume asks for more at a node than others do by its weight, as seen by this host.
