--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,11 +22,10 @@
 	dueOfTarget      = 0.125             // the same for ops within the reserve
 	sweepOfTarget    = 1.0 / 20          // how often held ops are looked at
 	blending         = 1.0 / 8           // weight of the newest answer in a recent mean
-	creditEarned     = 1.0               // of a further dispatch, for each answer
-	creditMost       = 2 * floor
-	failingTooMuch   = 0.2 // share of errors at which new objects go elsewhere
-	restGrows        = 2.0
+	creditMost       = 2 * floor         // further dispatches; each answer earns one
+	failingTooMuch   = 0.2               // share of errors at which new objects go elsewhere
 	bestForgets      = 1.0 / 256
+	steep            = 3 // power of what latency leaves of a place, where it is less than one
 	slack            = 1 // sweeps before the op timeout at which a held op is given up
 )
 
@@ -116,14 +115,7 @@
 			o.Member = m
 		}
 	}
-	s.running = 0
-	for _, o := range s.order {
-		if o.State == honeyplank.On {
-			s.running++
-		} else {
-			o.unhouse()
-		}
-	}
+	s.survey()
 	s.move()
 }
 
@@ -135,7 +127,9 @@
 		}
 	}
 	for _, o := range s.order {
-		s.pump(o)
+		if o.holding > 0 {
+			s.pump(o)
+		}
 	}
 }
 
@@ -173,7 +167,7 @@
 // lay leaves a disk server alone, longer each time, up to the longest target latency.
 func (s *Scheduler) lay(o *osd) {
 	shortest, longest := s.targets()
-	o.rest = min(max(time.Duration(restGrows*float64(o.rest)), shortest/2), longest)
+	o.rest = min(max(time.Duration(past*float64(o.rest)), shortest/2), longest)
 }
 
 // ---- Taking and placing ops ----
@@ -183,28 +177,23 @@
 		return
 	}
 	s.taken = append(recent(s.taken, s.now-get[time.Duration](s.set, "budget.window")), s.now)
-	// A client's next try brings less time than a first one; its target latency runs from the first.
-	left, waited := e.Timeout-s.now, time.Duration(0)
-	if e.Type >= 0 && e.Type < len(s.patient) {
+	// A next try's target latency runs from the first, which shows in how much less time it brings. One with
+	// less time than its target latency comes from a client in a hurry: it is wanted within that time.
+	left, target := e.Timeout-s.now, s.now+pick[time.Duration](s.set, "optypes.target_latency", e.Type)
+	if e.Timeout < target && !e.Retry {
+		target = e.Timeout
+	} else if e.Type >= 0 && e.Type < len(s.patient) {
 		s.patient[e.Type] = max(s.patient[e.Type], left)
-		waited = s.patient[e.Type] - left
-	}
-	target := s.now + pick[time.Duration](s.set, "optypes.target_latency", e.Type)
-	if e.Timeout < target && !e.Retry { // a client in a hurry, not one that has waited for long
-		target, waited = e.Timeout, 0
+		target -= s.patient[e.Type] - left
 	}
-	p := &op{Op: e, lot: s.rng.Float64(), target: target - waited}
+	p := &op{Op: e, lot: s.rng.Float64(), target: target}
 	s.ops[e.ID] = p
 	if e.Keyed && pick[bool](s.set, "optypes.ordered", e.Type) {
 		s.line(p)
 	}
 	s.open(p)
-	if _, longest := s.targets(); p.Cell != honeyplank.NewObject {
-		s.demand.add(s.now, e.Units, 2*longest)
-		if s.dueDemand.add(s.now, 0, 2*longest); s.due(p) {
-			s.dueDemand.add(s.now, e.Units, 2*longest)
-		}
-	}
+	_, longest := s.targets()
+	s.count(p, s.due(p), 2*longest)
 	if s.house(p); p.queue != nil {
 		p.queue.thinkt.gap(s.now, avgA, avgB)
 		s.pump(p.osd)
@@ -218,33 +207,30 @@
 // server of the volume's ranking that has not enough already.
 func (s *Scheduler) house(p *op) {
 	var home *osd
-	if p.Cell != honeyplank.NewObject {
-		for _, o := range s.order {
-			if o.Cell == p.Cell && o.State == honeyplank.On && (home == nil || sounder(o, home)) {
-				home = o
-			}
+	for _, o := range s.holders[p.Cell] {
+		if home == nil || sounder(o, home) {
+			home = o
 		}
-	} else {
+	}
+	if p.Cell == honeyplank.NewObject {
 		least := math.Inf(1)
-		for _, o := range ranked(s.order, p.Volume) {
+		for _, o := range s.ranking(p.volume, p.Volume) {
 			if !s.sound(o) || !s.mayDispatch(p, o) {
 				continue
 			}
-			load := float64(1+o.out+o.holding()) / s.places(o, spareOfTarget)
-			if load < 1 {
-				home = o
-				break
-			}
+			load := float64(1+o.out+o.holding) / s.places(o, spareOfTarget)
 			if load < least {
 				home, least = o, load
 			}
+			if load < 1 {
+				break
+			}
 		}
 	}
 	if home == nil {
 		return
 	}
-	p.osd, p.queue = home, home.queueOf(p.volume)
-	p.queue.held = append(p.queue.held, p)
+	home.keep(p)
 	p.queue.lastSeen = s.now
 	if _, longest := s.targets(); len(p.sends) == 0 {
 		p.queue.demand.add(s.now, p.Units, 2*longest)
@@ -259,7 +245,8 @@
 // sound tells whether a disk server may be given new objects: not where errors come back fast, which would
 // otherwise look like room, nor where it is cold or down. It could harm when most servers fail at once.
 func (s *Scheduler) sound(o *osd) bool {
-	return o.failing < failingTooMuch && (o.health == up || o.health == trial && o.out == 0) && s.coldRoom(o, 1, 1, false)
+	live := o.health == up || o.health == trial && o.out == 0
+	return live && o.failing < failingTooMuch && s.coldRoom(o, 1, 1, false)
 }
 
 // ---- Slices (iShare) ----
@@ -405,10 +392,9 @@
 func (s *Scheduler) choose(o *osd, q *queue) *op {
 	var found *op
 	for _, p := range q.held {
-		if !before(o, p, found) || !s.room(o, p) || !s.mayDispatch(p, o) {
-			continue
+		if before(o, p, found) && s.room(o, p) && s.mayDispatch(p, o) {
+			found = p
 		}
-		found = p
 	}
 	return found
 }
@@ -427,26 +413,21 @@
 // less to ops beyond the reserve. It guards against windows of many hosts adding up past what a node serves
 // in time, and should hold against slow and crowded nodes too. It could harm where long ops are the rule.
 func (s *Scheduler) room(o *osd, p *op) bool {
-	if o.health == down || o.health == trial && o.out > 0 && s.now-o.oldest <= o.rest {
+	trying := o.health == trial && o.out > 0 && s.now-o.oldest <= o.rest
+	if o.health == down || trying || s.now+s.soonest(o) >= p.Timeout { // or the client would be gone
 		return false
 	}
-	if s.now+s.soonest(o) >= p.Timeout { // the client would be gone
-		return false
-	}
-	window := s.places(o, spareOfTarget)
-	if s.due(p) {
-		window = s.places(o, dueOfTarget)
-		if p.Keyed && p.Key == o.lastKey { // a run under way reaches the node together
-			window = max(past*window, past)
-		}
+	due, excess := s.due(p), 1.0
+	window := s.places(o, dueOfTarget)
+	if !due {
+		window, excess = s.places(o, spareOfTarget), s.excess(p)
+	} else if p.Keyed && p.Key == o.lastKey { // a run under way reaches the node together
+		window = max(past*window, past)
 	}
 	if o.out > 0 || window >= 1 {
 		return float64(o.out) < window
 	}
-	if s.due(p) {
-		return p.lot < window/(1-window)
-	}
-	return p.lot*s.excess(p) < window/(1-window)
+	return p.lot*excess < window/(1-window)
 }
 
 // excess is how far a volume asks for more at a node than others do by its weight, as seen by this host.
@@ -461,9 +442,11 @@
 }
 
 // places is what the node's latency leaves of the window for ops that may take a part of the target latency.
+// Below one it falls steeply, but not below the hosts' even parts of what the node serves within the target
+// latency, two at a time: while hosts are few, one op of each always fits.
 func (s *Scheduler) places(o *osd, part float64) float64 {
 	shortest, _ := s.targets()
-	latency := s.latency(o)
+	latency, hosts := s.latency(o), float64(max(get[int](s.set, "hosts"), 1))
 	if latency <= 0 || shortest <= 0 {
 		return o.window
 	}
@@ -471,9 +454,8 @@
 	if places >= 1 {
 		return places
 	}
-	// One op of each host is no harm where the node serves them all within the target latency.
-	even := past * shortest.Seconds() / (float64(max(get[int](s.set, "hosts"), 1)) * o.best * get[float64](s.set, "units.mean"))
-	return min(1, max(places*places*places, even))
+	even := past * shortest.Seconds() / (hosts * o.best * get[float64](s.set, "units.mean"))
+	return min(1, max(math.Pow(places, steep), even))
 }
 
 // ---- What is due to a volume ----
@@ -507,13 +489,12 @@
 	if p.begun || !home || o.State != honeyplank.On || p.Timeout <= s.now {
 		return false
 	}
-	n := len(p.sends)
-	if n > 0 && (!s.repeats(p, o) || !s.budget() || o.credit < 1) {
+	if len(p.sends) > 0 && (!s.repeats(p, o) || !s.budget() || o.credit < 1) {
 		return false
 	}
-	v := p.volume
-	s.fillUp(v)
-	if n == 0 && pick[float64](s.set, "plans.limit", v.plan) > 0 && v.limit < p.Units {
+	s.fillUp(p.volume)
+	limited := pick[float64](s.set, "plans.limit", p.volume.plan) > 0
+	if limited && len(p.sends) == 0 && p.volume.limit < p.Units {
 		return false
 	}
 	return s.turnOf(p) && s.coldRoom(o, p.Units, p.lot, s.due(p))
@@ -521,23 +502,18 @@
 
 // repeats tells whether the kind of an op allows another dispatch at this disk server.
 func (s *Scheduler) repeats(p *op, o *osd) bool {
+	kind := pick[honeyplank.Kind](s.set, "optypes.kind", p.Type)
+	scope := pick[honeyplank.Scope](s.set, "optypes.scope", p.Type)
 	for _, d := range p.sends {
-		if !d.done && !get[bool](s.set, "dispatches.parallel") {
+		far := scope == honeyplank.ScopeZone && d.osd.Zone != o.Zone ||
+			scope == honeyplank.ScopeCell && d.osd.Cell != o.Cell
+		late := s.now >= d.at+pick[time.Duration](s.set, "optypes.remember", p.Type)
+		switch {
+		case !d.done && !get[bool](s.set, "dispatches.parallel"):
 			return false
-		}
-		if d.done && !d.maybe {
-			continue
-		}
-		switch pick[honeyplank.Kind](s.set, "optypes.kind", p.Type) {
-		case honeyplank.OnceOnly:
+		case d.done && !d.maybe:
+		case kind == honeyplank.OnceOnly || kind == honeyplank.Deduplicated && (far || late):
 			return false
-		case honeyplank.Deduplicated:
-			scope := pick[honeyplank.Scope](s.set, "optypes.scope", p.Type)
-			far := scope == honeyplank.ScopeZone && d.osd.Zone != o.Zone ||
-				scope == honeyplank.ScopeCell && d.osd.Cell != o.Cell
-			if far || s.now >= d.at+pick[time.Duration](s.set, "optypes.remember", p.Type) {
-				return false
-			}
 		}
 	}
 	return true
@@ -569,18 +545,16 @@
 
 // coldRoom keeps a disk server that has just started below this host's part of what it always bears. The
 // part grows no faster than the slowest warm-up. Every dispatch of the last window counts. Where many hosts
-// leave a part smaller than an op, an op's lot decides, so that the mean stays within the part: what this
-// host takes for a node is known from its ops for all. It guards against pushing the server over, by any
-// number of hosts, and harms where few of them have ops for it; where all of a fleet's ops are for one cold
-// server, chance alone would not hold.
+// leave a part smaller than a mean op, an op's lot decides, so that the mean of what this host sends stays
+// within it; those inside their reserves come first. It guards against pushing the server over, by any
+// number of hosts; were most of a fleet's ops for one cold server, chance would not hold it.
 func (s *Scheduler) coldRoom(o *osd, units, lot float64, due bool) bool {
 	window, warm := get[time.Duration](s.set, "cold.window"), get[time.Duration](s.set, "cold.time")
 	o.trim(s.now - window)
 	if o.Started <= 0 || window <= 0 || s.now >= o.Started+warm+window {
 		return true
 	}
-	from := get[float64](s.set, "cold.from")
-	grown := 1.0
+	from, grown := get[float64](s.set, "cold.from"), 1.0
 	if age := s.now - o.Started; from > 0 && from < 1 && age > 0 && warm > 0 {
 		grown = (from + (1-from)*min(1, float64(age)/float64(warm))) / from
 	}
@@ -589,11 +563,8 @@
 		return used+units <= part
 	}
 	each := window.Seconds() / float64(max(s.running, 1))
-	taken, first := s.demand.rate()*each, s.dueDemand.rate()*each
-	if due {
-		return lot*first < part
-	}
-	return lot*(taken-first) < part-first
+	first, others := s.demand[0].rate()*each, s.demand[1].rate()*each
+	return due && lot*first < part || lot*others < part-first
 }
 
 // ---- Sending and answering ----
@@ -624,7 +595,7 @@
 }{
 	honeyplank.Acked:       {maybe: true, answered: true, effect: (*Scheduler).measure},
 	honeyplank.Errored:     {maybe: true, answered: true, effect: (*Scheduler).blame},
-	honeyplank.Full:        {answered: true, effect: (*Scheduler).crowded},
+	honeyplank.Full:        {answered: true, effect: (*Scheduler).ranOut},
 	honeyplank.TimedOut:    {maybe: true, runs: true, effect: (*Scheduler).ranOut},
 	honeyplank.Unconnected: {lost: true},
 	honeyplank.Reset:       {maybe: true, runs: true, lost: true},
@@ -716,9 +687,9 @@
 // ---- What answers tell ----
 
 func (s *Scheduler) measure(o *osd, p *op, e honeyplank.Outcome) {
-	o.credit = min(o.credit+creditEarned, creditMost)
+	o.credit = min(o.credit+1, creditMost)
 	o.failing -= blending * o.failing
-	s.learn(o, e.Elapsed)
+	s.learn(o, e.Elapsed.Seconds())
 	o.perUnit = blend(o.perUnit, e.Elapsed.Seconds()/max(p.Units, 1), blending)
 	if o.best == 0 || o.perUnit < o.best {
 		o.best = o.perUnit
@@ -727,7 +698,7 @@
 	o.answers++
 	spell := o.perUnit > past*o.best
 	if spell && !o.spell {
-		s.crowded(o, p, e)
+		halve(o)
 	} else if o.perUnit < near*o.best && o.answers >= o.window {
 		o.window, o.answers = min(ceiling, o.window+1), 0
 	}
@@ -742,33 +713,38 @@
 	}
 }
 
-// learn takes in how long an answer took: the longer ago the node's last one came, the more it counts.
-func (s *Scheduler) learn(o *osd, took time.Duration) {
-	o.latency = blend(s.latency(o), took.Seconds(), max(blending, 1-s.fresh(o)))
-	s.usual, o.told = blend(s.usual, took.Seconds(), blending), s.now
-}
+// latency is how long a node's answers take, as far as this host can tell by now: what it saw there gives way
+// to what it sees everywhere, since with many hosts answers of one node are rare. It guards against beliefs
+// that outlive what they tell of; where one node alone stays slow, it is tried again too soon.
+func (s *Scheduler) latency(o *osd) float64 { return s.usual + (o.latency-s.usual)*s.fresh(o) }
 
 // fresh is what is left of the weight of a node's last answer.
 func (s *Scheduler) fresh(o *osd) float64 {
 	_, longest := s.targets()
-	return math.Exp(-(s.now - o.told).Seconds() / max(longest.Seconds(), s.sweepEvery().Seconds()))
+	return math.Exp(-float64(s.now-o.told) / float64(max(longest, s.sweepEvery())))
 }
 
-// latency is how long a node's answers take, as far as this host can tell by now: what it saw there gives way
-// to what it sees everywhere, since with many hosts answers of one node are rare.
-func (s *Scheduler) latency(o *osd) float64 { return s.usual + (o.latency-s.usual)*s.fresh(o) }
+func (s *Scheduler) learn(o *osd, took float64) {
+	o.latency = blend(s.latency(o), took, max(blending, 1-s.fresh(o)))
+	s.usual, o.told = blend(s.usual, took, blending), s.now
+}
 
 // soonest is when an answer of a node is worth hoping for: many come in half of their mean time.
 func (s *Scheduler) soonest(o *osd) time.Duration {
 	return time.Duration(s.latency(o) / 2 * float64(time.Second))
 }
 
-// ranOut takes a time-out for an answer that takes at least as long, up to the shortest target latency:
-// past that it may be lost rather than late.
+// ranOut takes a time-out for an answer that takes at least as long, up to the shortest target latency (past
+// that it may be lost rather than late), and a full queue for one past the longest.
 func (s *Scheduler) ranOut(o *osd, _ *op, e honeyplank.Outcome) {
-	shortest, _ := s.targets()
-	if least := min(e.Elapsed, shortest); least.Seconds() > s.latency(o) {
-		s.learn(o, least)
+	shortest, longest := s.targets()
+	least := min(e.Elapsed, shortest)
+	if e.Code == honeyplank.Full {
+		least = longest
+		halve(o)
+	}
+	if least.Seconds() > s.latency(o) {
+		s.learn(o, least.Seconds())
 	}
 }
 
@@ -776,13 +752,7 @@
 	o.failing += blending * (1 - o.failing)
 }
 
-func (s *Scheduler) crowded(o *osd, p *op, e honeyplank.Outcome) {
-	if e.Code == honeyplank.Full {
-		_, longest := s.targets()
-		s.learn(o, longest)
-	}
-	o.window = max(floor, o.window/2)
-}
+func halve(o *osd) { o.window = max(floor, o.window/2) }
 
 // ---- The sweep ----
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -32,6 +32,7 @@
 	credit  float64       // further dispatches earned by answers
 	failing float64       // recent share of answers that were errors
 	log     []sent        // units sent within the window of the cold rule
+	holding int           // ops held here
 	queues  []*queue      // in ring order
 	served  *queue
 	turn    turn
@@ -66,7 +67,8 @@
 	filled   time.Duration
 	served   flow    // units this host was served
 	total    float64 // units a second served everywhere, by the late meter
-	open     int     // ops taken and not over
+	ranked   []*osd
+	open     int // ops taken and not over
 	lastSeen time.Duration
 }
 
@@ -187,13 +189,13 @@
 	return x ^ x>>33
 }
 
-// ranked returns the disk servers in the volume's order.
-func ranked(osds []*osd, volume int64) []*osd {
-	list := append([]*osd(nil), osds...)
-	sort.SliceStable(list, func(i, j int) bool {
-		return rank(volume, list[i].OSD) > rank(volume, list[j].OSD)
-	})
-	return list
+// ranking returns the disk servers in a volume's order, made anew only when there are more of them.
+func (s *Scheduler) ranking(v *volume, id int64) []*osd {
+	if len(v.ranked) != len(s.order) {
+		v.ranked = append([]*osd(nil), s.order...)
+		sort.SliceStable(v.ranked, func(i, j int) bool { return rank(id, v.ranked[i].OSD) > rank(id, v.ranked[j].OSD) })
+	}
+	return v.ranked
 }
 
 // queueOf returns the volume's queue at a node, made when it is missing.
@@ -208,16 +210,19 @@
 	return q
 }
 
-// holding counts the ops held for a node.
-func (o *osd) holding() (n int) {
-	for _, q := range o.queues {
-		n += len(q.held)
-	}
-	return n
+// keep holds an op in its volume's queue at a node; leave takes it out again.
+func (o *osd) keep(p *op) {
+	p.osd, p.queue = o, o.queueOf(p.volume)
+	p.queue.held = append(p.queue.held, p)
+	o.holding++
 }
 
-func (q *queue) drop(p *op) {
-	q.held = without(q.held, p)
+func (p *op) leave() {
+	if p.queue != nil {
+		p.queue.held = without(p.queue.held, p)
+		p.osd.holding--
+		p.queue = nil
+	}
 }
 
 func without[T comparable](list []T, x T) []T {
@@ -237,28 +242,28 @@
 
 // Scheduler is one instance. It shares nothing with others.
 type Scheduler struct {
-	set       map[string]any
-	rng       *rand.Rand
-	now       time.Duration
-	born      time.Duration
-	started   bool
-	out       []honeyplank.Action
-	osds      map[honeyplank.OSDID]*osd
-	order     []*osd  // by id
-	running   int     // how many are listed as on
-	demand    flow    // units taken
-	dueDemand flow    // those inside their reserves
-	usual     float64 // recent answer time of all nodes, in seconds
-	ops       map[honeyplank.OpID]*op
-	held      []*op // in the order taken; also those with no disk server
-	volumes   map[int64]*volume
-	keys      map[int64]*key
-	taken     []time.Duration // ops taken, for the budget
-	extras    []time.Duration // further dispatches, for the budget
-	patient   []time.Duration // by op type: the longest that a client was seen to wait
-	watched   bool
-	asked     time.Duration
-	backoff   time.Duration
+	set     map[string]any
+	rng     *rand.Rand
+	now     time.Duration
+	born    time.Duration
+	started bool
+	out     []honeyplank.Action
+	osds    map[honeyplank.OSDID]*osd
+	order   []*osd         // by id
+	running int            // how many are listed as on
+	demand  [2]flow        // units taken for data that lies somewhere: inside a reserve, and beyond
+	holders map[int][]*osd // disk servers by the data they hold
+	usual   float64        // recent answer time of all nodes, in seconds
+	ops     map[honeyplank.OpID]*op
+	held    []*op // in the order taken; also those with no disk server
+	volumes map[int64]*volume
+	keys    map[int64]*key
+	taken   []time.Duration // ops taken, for the budget
+	extras  []time.Duration // further dispatches, for the budget
+	patient []time.Duration // by op type: the longest that a client was seen to wait
+	watched bool
+	asked   time.Duration
+	backoff time.Duration
 }
 
 func (s *Scheduler) act(a honeyplank.Action) { s.out = append(s.out, a) }
@@ -334,10 +339,7 @@
 
 // forget ends an op; its record stays while a dispatch has no outcome, since its key must wait for that.
 func (s *Scheduler) forget(p *op) {
-	if p.queue != nil {
-		p.queue.drop(p)
-		p.queue = nil
-	}
+	p.leave()
 	s.held = without(s.held, p)
 	p.over = true
 	s.finish(p)
@@ -385,7 +387,7 @@
 		}
 		q.held = nil
 	}
-	o.served, o.turn = nil, resting
+	o.served, o.turn, o.holding = nil, resting, 0
 }
 
 // ring lists the queues from the one after the served on.
@@ -426,6 +428,33 @@
 	sort.Slice(s.order, func(i, j int) bool { return s.order[i].OSD < s.order[j].OSD })
 }
 
+// count notes the units of an op whose data lies somewhere.
+func (s *Scheduler) count(p *op, due bool, memory time.Duration) {
+	if p.Cell == honeyplank.NewObject {
+		return
+	}
+	units := [2]float64{0, p.Units}
+	if due {
+		units = [2]float64{p.Units, 0}
+	}
+	for i := range s.demand {
+		s.demand[i].add(s.now, units[i], memory)
+	}
+}
+
+// survey notes who holds what and how many run; what has stopped holds nothing more.
+func (s *Scheduler) survey() {
+	s.running, s.holders = 0, map[int][]*osd{}
+	for _, o := range s.order {
+		if o.State == honeyplank.On {
+			s.running++
+			s.holders[o.Cell] = append(s.holders[o.Cell], o)
+		} else {
+			o.unhouse()
+		}
+	}
+}
+
 // line puts an op at the end of its key's line.
 func (s *Scheduler) line(p *op) {
 	k := s.keys[p.Key]
@@ -439,11 +468,9 @@
 
 // book notes that an op goes out to a disk server.
 func (s *Scheduler) book(p *op, o *osd) {
-	if p.queue != nil {
-		p.queue.drop(p)
-	}
+	p.leave()
 	s.held = without(s.held, p)
-	p.queue, p.osd, p.early = nil, o, false
+	p.osd, p.early = o, false
 	p.sends = append(p.sends, send{osd: o, at: s.now})
 	o.out++
 	o.log = append(o.log, sent{s.now, p.Units})
