--- a/policy/policy.go
+++ b/policy/policy.go
@@ -193,9 +193,10 @@
 	}
 	s.open(p)
 	_, longest := s.targets()
-	s.count(p, s.due(p), 2*longest)
+	s.tally(p, s.due(p), 2*longest)
 	if s.house(p); p.queue != nil {
 		p.queue.thinkt.gap(s.now, avgA, avgB)
+		p.queue.demand.add(s.now, p.Units, 2*longest)
 		s.pump(p.osd)
 	}
 	if !p.over && !p.busy() && s.useless(p) {
@@ -232,9 +233,6 @@
 	}
 	home.keep(p)
 	p.queue.lastSeen = s.now
-	if _, longest := s.targets(); len(p.sends) == 0 {
-		p.queue.demand.add(s.now, p.Units, 2*longest)
-	}
 }
 
 // sounder compares two holders of the same data: the healthier, then the one that has run for longer.
@@ -288,20 +286,16 @@
 
 // look tells what the loop is to act on.
 func (s *Scheduler) look(o *osd) sight {
-	if o.State != honeyplank.On {
-		return seeNothing
+	var own *op
+	if o.turn != resting {
+		own = s.choose(o, o.served)
 	}
 	other := s.next(o)
-	if o.turn == resting {
-		if other == nil {
-			return seeNothing
-		}
-		return seeOthers
-	}
-	own := s.choose(o, o.served)
 	switch {
 	case own == nil && other == nil:
 		return seeNothing
+	case o.turn == resting:
+		return seeOthers
 	case own != nil && other != nil && !s.due(own) && s.due(s.choose(o, other)):
 		return seeDue
 	case other != nil && s.now >= o.until:
@@ -339,14 +333,7 @@
 		if q == o.served || p == nil {
 			continue
 		}
-		class := 0
-		if !s.due(p) {
-			class += 2
-		}
-		if q.round >= o.round {
-			class++
-		}
-		if class < least {
+		if class := 2*count(!s.due(p)) + count(q.round >= o.round); class < least {
 			found, least = q, class
 		}
 	}
@@ -365,13 +352,8 @@
 
 // serve starts a slice: the volumes with held ops share a round of a part of the shortest target latency.
 func (s *Scheduler) serve(o *osd, q *queue) {
-	mean := mean(get[[]float64](s.set, "plans.weight"))
-	share := pick[float64](s.set, "plans.weight", q.volume.plan)
-	if share <= 0 || mean <= 0 {
-		share, mean = 1, 1
-	}
 	shortest, _ := s.targets()
-	slice := share / mean * sliceOfTarget * float64(shortest) / float64(max(o.busy(), 1))
+	slice := s.weight(q.volume.plan) * sliceOfTarget * float64(shortest) / float64(max(o.busy(), 1))
 	o.served, q.round, o.until = q, o.round, s.now+max(time.Duration(slice), s.sweepEvery())
 }
 
@@ -430,15 +412,23 @@
 	return p.lot*excess < window/(1-window)
 }
 
-// excess is how far a volume asks for more at a node than others do by its weight, as seen by this host.
+// excess is how far a volume asks for more at a node than others do by its weight, as seen by this host: with
+// few ops a host, lots stand for the slices that queues too short would need.
 func (s *Scheduler) excess(p *op) float64 {
 	_, longest := s.targets()
-	usual := mean(get[[]float64](s.set, "plans.rate")) / float64(p.volume.hosts)
-	weight := pick[float64](s.set, "plans.weight", p.Plan) / mean(get[[]float64](s.set, "plans.weight"))
-	if !(usual > 0 && weight > 0) || p.queue == nil {
+	usual := s.weight(p.Plan) * mean(get[[]float64](s.set, "plans.rate")) / float64(p.volume.hosts)
+	if usual <= 0 || p.queue == nil {
 		return 1
 	}
-	return p.queue.demand.near(usual, 2*longest) / usual / weight
+	return p.queue.demand.near(usual, 2*longest) / usual
+}
+
+// weight is a plan's against the mean.
+func (s *Scheduler) weight(plan int) float64 {
+	if w := pick[float64](s.set, "plans.weight", plan) / mean(get[[]float64](s.set, "plans.weight")); w > 0 {
+		return w
+	}
+	return 1
 }
 
 // places is what the node's latency leaves of the window for ops that may take a part of the target latency.
@@ -590,15 +580,16 @@
 // outcomes tells what each end of a dispatch means: whether it may have run, whether it may be running
 // still, and what it says of the disk server.
 var outcomes = map[honeyplank.Code]struct {
-	maybe, runs, answered, lost bool
-	effect                      func(*Scheduler, *osd, *op, honeyplank.Outcome)
+	maybe, runs bool
+	says        finding
+	effect      func(*Scheduler, *osd, *op, honeyplank.Outcome)
 }{
-	honeyplank.Acked:       {maybe: true, answered: true, effect: (*Scheduler).measure},
-	honeyplank.Errored:     {maybe: true, answered: true, effect: (*Scheduler).blame},
-	honeyplank.Full:        {answered: true, effect: (*Scheduler).ranOut},
+	honeyplank.Acked:       {maybe: true, says: inGood, effect: (*Scheduler).measure},
+	honeyplank.Errored:     {maybe: true, says: inGood, effect: (*Scheduler).blame},
+	honeyplank.Full:        {says: inGood, effect: (*Scheduler).ranOut},
 	honeyplank.TimedOut:    {maybe: true, runs: true, effect: (*Scheduler).ranOut},
-	honeyplank.Unconnected: {lost: true},
-	honeyplank.Reset:       {maybe: true, runs: true, lost: true},
+	honeyplank.Unconnected: {says: inLost},
+	honeyplank.Reset:       {maybe: true, runs: true, says: inLost},
 	honeyplank.Cancelled:   {maybe: true, runs: true},
 	honeyplank.Moot:        {},
 }
@@ -609,13 +600,10 @@
 		return
 	}
 	o.out--
-	if way.answered {
+	if way.says == inGood {
 		o.oldest = s.now
-		s.judge(o, inGood)
-	}
-	if way.lost {
-		s.judge(o, inLost)
 	}
+	s.judge(o, way.says)
 	if way.effect != nil {
 		way.effect(s, o, p, e)
 	}
@@ -629,13 +617,8 @@
 	} else if !p.busy() && p.queue == nil {
 		s.again(p, o)
 	}
-	if k := p.key; k != nil && len(k.ops) > 0 { // the next of the key may leave now
-		if k.ops[0].osd == nil {
-			s.house(k.ops[0])
-		}
-		if k.ops[0].osd != nil {
-			s.pump(k.ops[0].osd)
-		}
+	if k := p.key; k != nil && len(k.ops) > 0 && k.ops[0].osd != nil { // the next of the key may leave now
+		s.pump(k.ops[0].osd)
 	}
 	s.pump(o)
 }
@@ -644,39 +627,35 @@
 // follows: it guards against retries on a server that answers little, whatever ails it, and could harm where
 // a healthy server's first answers are still due.
 func (s *Scheduler) again(p *op, o *osd) {
-	if len(p.sends) >= get[int](s.set, "dispatches.max") || !s.repeats(p, o) || s.now >= p.target {
-		s.answer(p)
-		return
-	}
-	p.early, p.osd = true, nil
-	s.held = append(s.held, p)
-	s.house(p)
-	if s.useless(p) {
-		s.answer(p)
+	if len(p.sends) < get[int](s.set, "dispatches.max") && s.repeats(p, o) && s.now < p.target {
+		p.early, p.osd = true, nil
+		s.held = append(s.held, p)
+		if s.house(p); !s.useless(p) {
+			return
+		}
 	}
+	s.answer(p)
 }
 
 // useless tells whether a held op can no longer earn its utility: its target latency would be over before
 // an answer of the usual time there, or the client is about to give up. It guards against late answers that
 // cost a node as much as good ones, whatever fills it; after a short stall it gives up some ops too early.
 func (s *Scheduler) useless(p *op) bool {
-	if s.now+slack*s.sweepEvery() >= p.Timeout {
-		return true
-	}
-	if p.osd == nil {
-		return s.now >= p.target
+	soon := s.now
+	if p.osd != nil {
+		soon += s.soonest(p.osd)
 	}
-	return s.now+s.soonest(p.osd) >= p.target
+	return soon >= p.target || s.now+slack*s.sweepEvery() >= p.Timeout
 }
 
 // answer gives an op up at once.
 func (s *Scheduler) answer(p *op) {
+	advice := min(pick[time.Duration](s.set, "optypes.target_latency", p.Type),
+		get[time.Duration](s.set, "throttle.advice.max"))
+	if !get[bool](s.set, "throttle.advice") {
+		advice = 0
+	}
 	if s.harmless(p) {
-		advice := time.Duration(0)
-		if get[bool](s.set, "throttle.advice") {
-			advice = min(pick[time.Duration](s.set, "optypes.target_latency", p.Type),
-				get[time.Duration](s.set, "throttle.advice.max"))
-		}
 		s.act(honeyplank.Throttle{Op: p.ID, RetryAfter: advice})
 	} else {
 		s.act(honeyplank.Abort{Op: p.ID})
@@ -706,10 +685,9 @@
 	q := o.queueOf(p.volume)
 	q.await.gap(s.now, avgA, avgB)
 	q.lastSeen = s.now
-	v := p.volume
-	v.served.add(s.now, p.Units, 2*get[time.Duration](s.set, "meter.period"))
+	p.volume.served.add(s.now, p.Units, 2*get[time.Duration](s.set, "meter.period"))
 	if e.Used > 0 {
-		v.total = float64(e.Used-1) / 100 * pick[float64](s.set, "plans.rate", v.plan)
+		p.volume.total = float64(e.Used-1) / 100 * pick[float64](s.set, "plans.rate", p.Plan)
 	}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -157,6 +157,14 @@
 	return mean + weight*(x-mean)
 }
 
+// count is 1 for what holds.
+func count(holds bool) int {
+	if holds {
+		return 1
+	}
+	return 0
+}
+
 func mean(list []float64) (m float64) {
 	for _, x := range list {
 		m += x / float64(len(list))
@@ -301,10 +309,11 @@
 type finding int
 
 const (
-	inGood finding = iota // an answer, whatever it was
-	inLost                // no connection, a reset, or silence
-	inBorn                // the list tells of a new start
-	inTime                // its rest has passed
+	inNothing finding = iota
+	inGood            // an answer, whatever it was
+	inLost            // no connection, a reset, or silence
+	inBorn            // the list tells of a new start
+	inTime            // its rest has passed
 )
 
 type turn int
@@ -428,8 +437,8 @@
 	sort.Slice(s.order, func(i, j int) bool { return s.order[i].OSD < s.order[j].OSD })
 }
 
-// count notes the units of an op whose data lies somewhere.
-func (s *Scheduler) count(p *op, due bool, memory time.Duration) {
+// tally notes the units of an op whose data lies somewhere.
+func (s *Scheduler) tally(p *op, due bool, memory time.Duration) {
 	if p.Cell == honeyplank.NewObject {
 		return
 	}
