--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,7 +25,6 @@
 	creditMost       = 2 * floor         // further dispatches; each answer earns one
 	failingTooMuch   = 0.2               // share of errors at which new objects go elsewhere
 	bestForgets      = 1.0 / 256
-	steep            = 3 // power of what latency leaves of a place, where it is less than one
 	slack            = 1 // sweeps before the op timeout at which a held op is given up
 )
 
@@ -445,7 +444,7 @@
 		return places
 	}
 	even := past * shortest.Seconds() / (hosts * o.best * get[float64](s.set, "units.mean"))
-	return min(1, max(math.Pow(places, steep), even))
+	return min(1, max(places*places, even))
 }
 
 // ---- What is due to a volume ----
