--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,7 +25,6 @@
 	creditMost       = 2 * floor         // further dispatches; each answer earns one
 	failingTooMuch   = 0.2               // share of errors at which new objects go elsewhere
 	bestForgets      = 1.0 / 256
-	slack            = 1 // sweeps before the op timeout at which a held op is given up
 )
 
 // New makes an instance that knows nothing yet.
@@ -76,8 +75,8 @@
 
 func (s *Scheduler) sweepEvery() time.Duration {
 	shortest, _ := s.targets()
-	every := time.Duration(sweepOfTarget * float64(shortest))
-	return max(every, get[time.Duration](s.set, "step"), time.Millisecond)
+	least := max(get[time.Duration](s.set, "step"), time.Millisecond)
+	return max(time.Duration(sweepOfTarget*float64(shortest)), least)
 }
 
 // ---- The list of disk servers ----
@@ -98,21 +97,18 @@
 	case honeyplank.Changes, honeyplank.Whole:
 		s.watched, s.backoff = true, 0
 	}
-	for _, o := range s.order {
-		if l.Kind != honeyplank.Changes { // what a whole list leaves out is gone
-			o.State = honeyplank.Gone
-		}
+	if l.Kind != honeyplank.Changes { // what a whole list leaves out is gone
+		s.allGone()
 	}
 	for _, m := range l.Members {
-		if o := s.osds[m.OSD]; o == nil {
-			// What was sent to it before this instance started is unknown, so that counts as too much.
-			s.add(&osd{Member: m, window: floor, credit: creditMost, log: []sent{{s.born, math.Inf(1)}}})
-		} else {
-			if m.Started > o.Started {
-				s.judge(o, inBorn)
-			}
-			o.Member = m
+		o := s.osds[m.OSD]
+		if o == nil { // what was sent to it before this instance started is unknown: that counts as too much
+			o = s.add(&osd{Member: m, window: floor, credit: creditMost, log: []sent{{s.born, math.Inf(1)}}})
+		}
+		if m.Started > o.Started {
+			s.judge(o, inBorn)
 		}
+		o.Member = m
 	}
 	s.survey()
 	s.move()
@@ -207,8 +203,8 @@
 // server of the volume's ranking that has not enough already.
 func (s *Scheduler) house(p *op) {
 	var home *osd
-	for _, o := range s.holders[p.Cell] {
-		if home == nil || sounder(o, home) {
+	for _, o := range s.holders[p.Cell] { // the healthiest, of those the one that has run for longest
+		if home == nil || o.health < home.health || o.health == home.health && o.Started < home.Started {
 			home = o
 		}
 	}
@@ -227,16 +223,10 @@
 			}
 		}
 	}
-	if home == nil {
-		return
+	if home != nil {
+		home.keep(p)
+		p.queue.lastSeen = s.now
 	}
-	home.keep(p)
-	p.queue.lastSeen = s.now
-}
-
-// sounder compares two holders of the same data: the healthier, then the one that has run for longer.
-func sounder(o, than *osd) bool {
-	return o.health < than.health || o.health == than.health && o.Started < than.Started
 }
 
 // sound tells whether a disk server may be given new objects: not where errors come back fast, which would
@@ -534,9 +524,8 @@
 
 // coldRoom keeps a disk server that has just started below this host's part of what it always bears. The
 // part grows no faster than the slowest warm-up. Every dispatch of the last window counts. Where many hosts
-// leave a part smaller than a mean op, an op's lot decides, so that the mean of what this host sends stays
-// within it; those inside their reserves come first. It guards against pushing the server over, by any
-// number of hosts; were most of a fleet's ops for one cold server, chance would not hold it.
+// leave a part below a mean op, lots keep the mean of what this host sends within it, reserves first. It
+// guards against pushing the server over; were most of a fleet's ops for one, chance would not hold.
 func (s *Scheduler) coldRoom(o *osd, units, lot float64, due bool) bool {
 	window, warm := get[time.Duration](s.set, "cold.window"), get[time.Duration](s.set, "cold.time")
 	o.trim(s.now - window)
@@ -609,9 +598,7 @@
 	if k := p.key; k != nil && way.runs {
 		k.rest, k.restBy = s.now+get[time.Duration](s.set, "order.settle"), p.ID
 	}
-	if p.over {
-		s.finish(p)
-	} else if e.Done {
+	if p.over || e.Done {
 		s.forget(p)
 	} else if !p.busy() && p.queue == nil {
 		s.again(p, o)
@@ -644,7 +631,7 @@
 	if p.osd != nil {
 		soon += s.soonest(p.osd)
 	}
-	return soon >= p.target || s.now+slack*s.sweepEvery() >= p.Timeout
+	return soon >= p.target || s.now+s.sweepEvery() >= p.Timeout
 }
 
 // answer gives an op up at once.
--- a/policy/state.go
+++ b/policy/state.go
@@ -431,10 +431,17 @@
 }
 
 // add takes up the record of a disk server.
-func (s *Scheduler) add(o *osd) {
+func (s *Scheduler) add(o *osd) *osd {
 	s.osds[o.OSD] = o
 	s.order = append(s.order, o)
 	sort.Slice(s.order, func(i, j int) bool { return s.order[i].OSD < s.order[j].OSD })
+	return o
+}
+
+func (s *Scheduler) allGone() {
+	for _, o := range s.order {
+		o.State = honeyplank.Gone
+	}
 }
 
 // tally notes the units of an op whose data lies somewhere.
