--- a/policy/policy.go
+++ b/policy/policy.go
@@ -680,7 +680,7 @@
 // latency is how long a node's answers take, as far as this host can tell by now: what it saw there gives way
 // to what it sees everywhere, since with many hosts answers of one node are rare. It guards against beliefs
 // that outlive what they tell of; where one node alone stays slow, it is tried again too soon.
-func (s *Scheduler) latency(o *osd) float64 { return s.usual + (o.latency-s.usual)*s.fresh(o) }
+func (s *Scheduler) latency(o *osd) float64 { return o.latency }
 
 // fresh is what is left of the weight of a node's last answer.
 func (s *Scheduler) fresh(o *osd) float64 {
