--- a/policy/policy.go
+++ b/policy/policy.go
@@ -450,14 +450,14 @@
 		v.served.add(s.now, 0, 2*get[time.Duration](s.set, "meter.period"))
 		part = max(part, reserve*min(1, v.served.rate()/v.total))
 	}
-	v.reserve = min(v.reserve+gap*part, (reserve+get[float64](s.set, "units.largest"))/hosts)
+	v.reserve = min(v.reserve+gap*part, reserve+get[float64](s.set, "units.largest"))
 	v.limit = min(v.limit+gap*limit/hosts, pick[float64](s.set, "plans.burst", v.plan)/hosts)
 }
 
 // due tells whether an op is inside its volume's reserve, as far as this host's store of it lasts.
 func (s *Scheduler) due(p *op) bool {
 	s.fillUp(p.volume)
-	return p.target > s.now && p.volume.reserve > 0
+	return p.target > s.now && p.volume.reserve >= p.Units
 }
 
 // ---- Rules ----
@@ -680,7 +680,7 @@
 // latency is how long a node's answers take, as far as this host can tell by now: what it saw there gives way
 // to what it sees everywhere, since with many hosts answers of one node are rare. It guards against beliefs
 // that outlive what they tell of; where one node alone stays slow, it is tried again too soon.
-func (s *Scheduler) latency(o *osd) float64 { return o.latency }
+func (s *Scheduler) latency(o *osd) float64 { return s.usual + (o.latency-s.usual)*s.fresh(o) }
 
 // fresh is what is left of the weight of a node's last answer.
 func (s *Scheduler) fresh(o *osd) float64 {
