--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,7 +22,6 @@
 	dueOfTarget      = 0.25              // the same for ops within the reserve
 	sweepOfTarget    = 1.0 / 20          // how often held ops are looked at
 	blending         = 1.0 / 8           // weight of the newest answer in a recent mean
-	overdue          = 4                 // times the usual latency without an answer
 	creditMost       = 2 * floor         // further dispatches; each answer earns one
 	failingTooMuch   = 0.2               // share of errors at which new objects go elsewhere
 	bestForgets      = 1.0 / 256
@@ -563,13 +562,7 @@
 		o.oldest = s.now
 	}
 	s.book(p, o)
-	// An answer that is long overdue while there is time for another is given up: it guards against answers that
-	// are lost on their way, and could harm where ops differ much in length.
-	after := time.Duration(overdue * s.latency(o) * float64(time.Second))
-	if s.now+after+after/overdue >= p.target || !s.harmless(p) {
-		after = 0
-	}
-	s.act(honeyplank.Dispatch{Op: p.ID, OSD: o.OSD, After: after})
+	s.act(honeyplank.Dispatch{Op: p.ID, OSD: o.OSD})
 }
 
 // outcomes tells what each end of a dispatch means: whether it may have run, whether it may be running
