--- a/policy/policy.go
+++ b/policy/policy.go
@@ -18,8 +18,8 @@
 	idle             = 30 * time.Second  // entries idle for longer are dropped
 	near, past       = 1.5, 2.0          // latency near its best, and far past it
 	sliceOfTarget    = 0.25              // a round of slices lasts this part of the shortest target latency
-	spareOfTarget    = 0.03125           // latency that leaves room for ops beyond the reserve
-	dueOfTarget      = 0.25              // the same for ops within the reserve
+	spareOfTarget    = 0.045             // latency that leaves room for ops beyond the reserve
+	dueOfTarget      = 0.18              // the same for ops within the reserve
 	sweepOfTarget    = 1.0 / 20          // how often held ops are looked at
 	blending         = 1.0 / 8           // weight of the newest answer in a recent mean
 	creditMost       = 2 * floor         // further dispatches; each answer earns one
