--- a/policy/policy.go
+++ b/policy/policy.go
@@ -409,10 +409,6 @@
 	if usual <= 0 || p.queue == nil {
 		return 1
 	}
-	worth := pick[float64](s.set, "optypes.utility", p.Type) * pick[float64](s.set, "plans.value", p.Plan)
-	if all := mean(get[[]float64](s.set, "optypes.utility")) * mean(get[[]float64](s.set, "plans.value")); worth > 0 {
-		usual *= worth / all
-	}
 	return p.queue.demand.near(usual, 2*longest) / usual
 }
 
@@ -452,7 +448,7 @@
 	part := reserve / hosts
 	if v.total > 0 {
 		v.served.add(s.now, 0, 2*get[time.Duration](s.set, "meter.period"))
-		part = max(part, reserve*min(1, v.served.rate()/v.total))
+		part = max(part/past, reserve*min(1, v.served.rate()/v.total))
 	}
 	v.reserve = min(v.reserve+gap*part, reserve+get[float64](s.set, "units.largest"))
 	v.limit = min(v.limit+gap*limit/hosts, pick[float64](s.set, "plans.burst", v.plan)/hosts)
