--- a/policy/policy.go
+++ b/policy/policy.go
@@ -448,7 +448,7 @@
 	part := reserve / hosts
 	if v.total > 0 {
 		v.served.add(s.now, 0, 2*get[time.Duration](s.set, "meter.period"))
-		part = max(part/past, reserve*min(1, v.served.rate()/v.total))
+		part = max(part, reserve*min(1, v.served.rate()/v.total))
 	}
 	v.reserve = min(v.reserve+gap*part, reserve+get[float64](s.set, "units.largest"))
 	v.limit = min(v.limit+gap*limit/hosts, pick[float64](s.set, "plans.burst", v.plan)/hosts)
