--- a/policy/model_test.go
+++ b/policy/model_test.go
@@ -119,10 +119,10 @@
 
 func (m *model) dispatch(host int, a honeyplank.Dispatch) {
 	t := m.ops[a.Op]
-	o := m.osds[a.OSD]
 	if t.over {
 		m.broken(1, "%s dispatched after its answer", a.Op)
 	}
+	o := m.osds[a.OSD]
 	if since, told := m.stop[a.OSD]; told && m.now > since+get[time.Duration](m.set, "drain.grace") {
 		m.broken(3, "%s goes to %s", a.Op, a.OSD)
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -471,12 +471,12 @@
 	if len(p.sends) > 0 && (!s.repeats(p, o) || !s.budget() || o.credit < 1) {
 		return false
 	}
-	s.fillUp(p.volume)
+	due := s.due(p) // brings the stores up to now
 	limited := pick[float64](s.set, "plans.limit", p.volume.plan) > 0
 	if limited && len(p.sends) == 0 && p.volume.limit < p.Units {
 		return false
 	}
-	return s.turnOf(p) && s.coldRoom(o, p.Units, p.lot, s.due(p))
+	return s.turnOf(p) && s.coldRoom(o, p.Units, p.lot, due)
 }
 
 // repeats tells whether the kind of an op allows another dispatch at this disk server.
@@ -555,7 +555,7 @@
 	} else {
 		v.limit -= p.Units
 	}
-	if v.reserve > 0 { // what goes beyond the reserve leaves no debt
+	if v.reserve > 0 { // from an empty store nothing is taken: no debt but that of one op
 		v.reserve -= p.Units
 	}
 	if o.out == 0 || o.health == trial {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -79,6 +79,7 @@
 			case 4: // nothing of an unknown op, server or timer may do harm, nor a garbled message
 				w.give(0, honeyplank.Outcome{Op: "none", OSD: "osd1", Code: 1})
 				w.give(0, honeyplank.Outcome{OSD: "none", Code: 6})
+				w.give(0, honeyplank.Timer{Name: "none"})
 				w.give(0, honeyplank.Peer{From: -1})
 			case 5: // a stream begins
 				e := w.order[r.Intn(len(w.order))]
@@ -117,8 +118,8 @@
 func TestSameEventsSameActions(t *testing.T) {
 	a, b := New(7, figures()), New(7, figures())
 	for i := range 300 {
-		for _, e := range []honeyplank.Event{honeyplank.List{Members: []honeyplank.Member{member(0, 0), member(1, 0)}},
-			honeyplank.Op{ID: honeyplank.OpID(fmt.Sprint(i)), Units: 2, Timeout: time.Second, Volume: int64(i % 9), Cell: i%3 - 1},
+		for _, e := range []honeyplank.Event{honeyplank.List{Members: []honeyplank.Member{member(0, 0), member(1, 0), member(2, 0)}},
+			honeyplank.Op{ID: honeyplank.OpID(fmt.Sprint(i)), Units: 2, Timeout: 2 * time.Second, Volume: int64(i % 9), Cell: i%4 - 1},
 			honeyplank.Timer{Name: "sweep"}} {
 			if now := time.Duration(i) * ms; !reflect.DeepEqual(a.Handle(now, e), b.Handle(now, e)) {
 				t.Fatalf("two instances differ at %v on %+v", now, e)
@@ -247,8 +248,7 @@
 // Silence takes a server down after two spells, a trial brings it back (incident i9adade: time-outs).
 func TestSilenceAndWayBack(t *testing.T) {
 	w := crowd(t)
-	o := w.hosts[0].osds["osd0"]
-	seen := map[health]bool{}
+	o, seen := w.hosts[0].osds["osd0"], map[health]bool{}
 	for w.now < 4*time.Second {
 		w.now += 10 * ms
 		w.give(0, honeyplank.Timer{Name: "sweep"})
@@ -351,7 +351,7 @@
 	}
 }
 
-// A host's part of a reserve follows what the volume is served through it; what goes beyond leaves no debt.
+// A host's part of a reserve follows what the volume is served through it.
 func TestPartOfReserve(t *testing.T) {
 	for total, want := range map[float64]bool{0: false, 10: true} {
 		s := New(1, figures())
--- a/policy/state.go
+++ b/policy/state.go
@@ -351,10 +351,6 @@
 	p.leave()
 	s.held = without(s.held, p)
 	p.over = true
-	s.finish(p)
-}
-
-func (s *Scheduler) finish(p *op) {
 	if p.busy() {
 		return
 	}
