--- /dev/null
+++ b/cmd/honeyplank/main.go
@@ -0,0 +1,239 @@
+// Command honeyplank is the gateway's daemon and its operators' tools: flags, files, signals and logging round
+// package gateway. It decides nothing.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
+
+	"honeyplank/gateway"
+	"honeyplank/rehearse"
+	"honeyplank/settings"
+)
+
+type commands struct {
+	LogLevel string `help:"Least level of log lines: debug, info, warn, error." default:"info" enum:"debug,info,warn,error"`
+	LogText  bool   `help:"Log lines for people instead of JSON."`
+
+	Serve    serveCommand    `cmd:"" help:"Run a gateway."`
+	Settings settingsCommand `cmd:"" help:"Check and show settings."`
+	Rehearse rehearseCommand `cmd:"" help:"Play a bad day on stand-ins and judge the rules."`
+	Version  versionCommand  `cmd:"" help:"Tell the version."`
+}
+
+// invalid marks errors of what was given: exit 2.
+type invalid struct{ error }
+
+func main() {
+	var c commands
+	k := kong.Parse(&c, kong.Name("honeyplank"), kong.Description("A storage gateway that schedules a host's reads and writes over storage nodes."), kong.UsageOnError(),
+		kong.Exit(func(code int) {
+			if code != 0 {
+				code = 2
+			}
+			os.Exit(code)
+		}))
+	level, _ := zerolog.ParseLevel(c.LogLevel)
+	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger()
+	if c.LogText {
+		log = log.Output(zerolog.ConsoleWriter{Out: os.Stderr, TimeFormat: time.StampMilli})
+	}
+	if err := k.Run(log); err != nil {
+		fmt.Fprintln(os.Stderr, "honeyplank:", err)
+		var fault *settings.Fault
+		if errors.As(err, &fault) || errors.As(err, &invalid{}) {
+			os.Exit(2)
+		}
+		os.Exit(1)
+	}
+}
+
+func signals() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+}
+
+func read(file string) (*settings.Gateway, error) {
+	s, err := settings.Read(file)
+	if errors.Is(err, os.ErrNotExist) || errors.Is(err, os.ErrPermission) {
+		err = invalid{err}
+	}
+	return s, err
+}
+
+type serveCommand struct {
+	File string        `arg:"" help:"Settings, as XML."`
+	Seed int64         `help:"Seed of the gateway's random numbers; 0: from the time."`
+	Stop time.Duration `help:"How long a stop may take before what is left is aborted." default:"30s"`
+}
+
+func (c *serveCommand) Run(log zerolog.Logger) error {
+	s, err := read(c.File)
+	if err != nil {
+		return err
+	}
+	if c.Seed == 0 {
+		c.Seed = time.Now().UnixNano()
+	}
+	g, err := gateway.New(gateway.Options{Settings: s, Seed: c.Seed, Log: log})
+	if err != nil {
+		return err
+	}
+	ctx, stop := signals()
+	defer stop()
+	log.Info().Str("address", g.Address()).Str("subsystem", s.Listen.Subsystem).Msg("serving")
+	served := make(chan error, 1)
+	go func() { served <- g.Serve(context.Background()) }()
+	select {
+	case err = <-served:
+		return err
+	case <-ctx.Done():
+	}
+	stop() // a second signal ends the process at once
+	within, cancel := context.WithTimeout(context.Background(), c.Stop)
+	defer cancel()
+	err = g.Shutdown(within)
+	log.Info().Err(err).Msg("stopped")
+	return errors.Join(err, <-served)
+}
+
+type settingsCommand struct {
+	Check  checkCommand  `cmd:"" help:"Tell whether files are right."`
+	Show   showCommand   `cmd:"" help:"Print settings with what was left to defaults."`
+	Schema schemaCommand `cmd:"" help:"Print the XML schema."`
+}
+
+type checkCommand struct {
+	Files []string `arg:"" help:"Files to check."`
+}
+
+func (c *checkCommand) Run() error {
+	var all error
+	for _, f := range c.Files {
+		if _, err := read(f); err != nil {
+			all = errors.Join(all, err)
+		} else {
+			fmt.Println(f + ": right")
+		}
+	}
+	return all
+}
+
+type showCommand struct {
+	File string `arg:"" help:"Settings, as XML."`
+}
+
+func (c *showCommand) Run() error {
+	s, err := read(c.File)
+	if err != nil {
+		return err
+	}
+	b, err := s.XML()
+	os.Stdout.Write(b)
+	return err
+}
+
+type schemaCommand struct{}
+
+func (*schemaCommand) Run() error {
+	_, err := os.Stdout.Write(settings.Schema)
+	return err
+}
+
+type rehearseCommand struct {
+	Script   string `help:"Script to play instead of the built-in bad day."`
+	Seed     int64  `help:"Seed of all chance." default:"1"`
+	Trouble  string `help:"Play one kind of trouble on its own, or all of them one by one."`
+	Baseline bool   `help:"Have the gateways pass ops on in order of arrival, to measure against."`
+	JSON     bool   `help:"Print the report as JSON."`
+	Verbose  bool   `help:"Show the gateways' log lines."`
+}
+
+func (c *rehearseCommand) Run(log zerolog.Logger) error {
+	script, err := settings.Parse("built-in script", rehearse.BadDay)
+	if c.Script != "" {
+		script, err = read(c.Script)
+	}
+	if err != nil {
+		return err
+	}
+	if script.Rehearsal == nil {
+		return invalid{fmt.Errorf("%s has no <rehearsal>", c.Script)}
+	}
+	ctx, stop := signals()
+	defer stop()
+	scripts := map[string]*settings.Gateway{"": script}
+	names := []string{""}
+	if c.Trouble != "" {
+		if scripts, names, err = rehearse.Troubles(script, c.Trouble); err != nil {
+			return invalid{err}
+		}
+	}
+	reports := make([]*rehearse.Report, len(names))
+	errs := make([]error, len(names))
+	var group sync.WaitGroup
+	slots := make(chan struct{}, 3) // so many play at a time
+	for i, name := range names {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			o := rehearse.Options{Script: scripts[name], Seed: c.Seed, Log: zerolog.Nop()}
+			if c.Verbose {
+				o.Log = log
+			}
+			if c.Baseline {
+				o.Module = rehearse.Arrival
+			}
+			reports[i], errs[i] = rehearse.Run(ctx, o)
+		}()
+	}
+	group.Wait()
+	kept := true
+	for i, name := range names {
+		if errs[i] != nil {
+			return fmt.Errorf("%s: %w", name, errs[i])
+		}
+		kept = kept && reports[i].Kept
+		if c.JSON {
+			if err := json.NewEncoder(os.Stdout).Encode(struct {
+				Trouble string `json:"trouble,omitempty"`
+				*rehearse.Report
+			}{name, reports[i]}); err != nil {
+				return err
+			}
+			continue
+		}
+		if name != "" {
+			fmt.Printf("---- trouble: %s ----\n", name)
+		}
+		fmt.Println(reports[i])
+	}
+	if !kept {
+		return errors.New("a rule is broken; the same command with the same seed plays it again")
+	}
+	return nil
+}
+
+type versionCommand struct{}
+
+func (*versionCommand) Run() error {
+	version := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		version = strings.TrimSpace(info.Main.Version + " " + info.GoVersion)
+	}
+	fmt.Println("honeyplank", version)
+	return nil
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,364 @@
+// Package gateway is honeyplank as a library: one Instance takes Reads and Writes from NVMe/TCP clients and
+// carries them to disk servers. New, then Serve, then Shutdown. It tells the decision module what happens and
+// does what the module says; it decides nothing. Instances share nothing that was not handed to both.
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"honeyplank"
+	"honeyplank/loop"
+	"honeyplank/members"
+	"honeyplank/nvme"
+	"honeyplank/policy"
+	"honeyplank/settings"
+	"honeyplank/target"
+)
+
+// Module makes the decisions: policy.Scheduler, or a baseline to measure against.
+type Module interface {
+	Handle(now time.Duration, event honeyplank.Event) []honeyplank.Action
+}
+
+// Tap sees the bytes of one connection, in order; sent tells which way.
+type Tap = func(sent bool, b []byte)
+
+// Options are what an instance is made of.
+type Options struct {
+	Settings *settings.Gateway
+	Seed     int64
+	// Module makes the decision module; nil: policy.New.
+	Module func(seed int64, settings map[string]any) Module
+	Log    zerolog.Logger
+}
+
+// Instance is one running gateway.
+type Instance struct {
+	o      Options
+	s      *settings.Gateway
+	loop   *loop.Loop
+	module Module
+	server *target.Server
+	source *members.Etcd
+	log    zerolog.Logger
+
+	queue   []honeyplank.Event
+	telling bool
+	ops     map[honeyplank.OpID]*op
+	last    uint64
+	disks   map[honeyplank.OSDID]*disk
+	volumes map[uint32]*volume
+	advice  []time.Duration // what CRDT1 to CRDT3 stand for
+	ending  bool
+	settled func() // called once no op is owed an answer
+	done    chan struct{}
+	counts  Counts
+}
+
+// Counts are what an instance has done so far.
+type Counts struct {
+	Taken, Acked, Throttled, Aborted, Lapsed int
+	Dispatches                               int
+	Open                                     int // ops owed an answer now
+	Out                                      int // dispatches without an outcome now
+	Held                                     int // bytes of write data held now
+	Connections                              int
+	Events                                   int // told to the module
+}
+
+type volume struct {
+	plan, hosts int
+	cells       []int
+}
+
+// crdtUnit is the unit of CRDT1 to CRDT3 (Base 5.17.2.1).
+const crdtUnit = 100 * time.Millisecond
+
+// New makes an instance and listens. Nothing is served before Serve.
+func New(o Options) (*Instance, error) {
+	if o.Settings == nil {
+		return nil, errors.New("gateway: no settings")
+	}
+	if o.Module == nil {
+		o.Module = func(seed int64, v map[string]any) Module { return policy.New(seed, v) }
+	}
+	s := o.Settings
+	// The clock starts late enough for a disk server that started before this instance to have a start.
+	origin := s.List.AskWithin.D()
+	if c := s.Rules.Cold; c != nil {
+		origin += 2 * (c.Time.D() + c.Window.D())
+	}
+	l, err := loop.New(origin)
+	if err != nil {
+		return nil, fmt.Errorf("gateway: %w", err)
+	}
+	g := &Instance{o: o, s: s, loop: l, log: o.Log, module: o.Module(o.Seed, s.Values()), ops: map[honeyplank.OpID]*op{},
+		disks: map[honeyplank.OSDID]*disk{}, volumes: map[uint32]*volume{}, done: make(chan struct{})}
+	offer := target.Offer{Subsystem: s.Listen.Subsystem, Serial: "HP" + strconv.Itoa(s.Scheduler.Ordinal),
+		MaxTransfer: int(s.Limits.Transfer), Capsule: int(s.Limits.Capsule), Piece: int(s.Limits.Piece),
+		Depth: s.Limits.Depth, Queues: 64, Handshake: s.Limits.Handshake.D(), Connections: s.Limits.Connections,
+		Unsent: int(s.Limits.Unsent), Held: int(s.Limits.Held)}
+	shift := uint8(0)
+	for 1<<shift < int(s.Volumes.Block) {
+		shift++
+	}
+	for i := range s.Volumes.List {
+		v := &s.Volumes.List[i]
+		g.volumes[v.NSID] = &volume{plan: s.Plan(v.Plan), hosts: v.Hosts, cells: v.CellList()}
+		id := sha256.Sum256([]byte(s.Listen.Subsystem + "/" + v.Name))
+		offer.Namespaces = append(offer.Namespaces, target.Namespace{ID: v.NSID, Blocks: uint64(v.Size) >> shift, Shift: shift, UUID: [16]byte(id[:16])})
+	}
+	slices.SortFunc(offer.Namespaces, func(a, b target.Namespace) int { return int(int64(a.ID) - int64(b.ID)) })
+	g.advice = g.delays()
+	for i, d := range g.advice {
+		offer.Delays[i] = uint16((d + crdtUnit - 1) / crdtUnit)
+	}
+	if g.server, err = target.Listen(l, s.Listen.Address, offer, g); err != nil {
+		l.Stop()
+		l.Run()
+		return nil, fmt.Errorf("gateway: %s: %w", s.Listen.Address, err)
+	}
+	g.server.Patience = func(c *target.Command) time.Duration { return g.patience(c) }
+	var endpoints []string
+	for _, e := range s.List.Etcd {
+		endpoints = append(endpoints, e.Endpoint)
+	}
+	g.source = members.New(endpoints, s.List.Prefix, s.Listen.Host, func(n members.News) { l.Post(func() { g.news(n) }) })
+	return g, nil
+}
+
+// delays are the advices that the module can give, by the settings: three at most.
+func (g *Instance) delays() (list []time.Duration) {
+	if g.s.Dispatches.AdviceMost <= 0 {
+		return nil
+	}
+	for _, t := range g.s.OpTypes {
+		list = append(list, min(t.TargetLatency.D(), g.s.Dispatches.AdviceMost.D()))
+	}
+	slices.Sort(list)
+	list = slices.Compact(list)
+	for len(list) > 3 {
+		list = slices.Delete(list, 1, 2)
+	}
+	return list
+}
+
+// Address is where the instance listens.
+func (g *Instance) Address() string { return g.server.Address() }
+
+// Stats counts what the instance's loop has done.
+func (g *Instance) Stats() *loop.Stats { return &g.loop.Stats }
+
+// Serve runs the instance until Shutdown has ended it or the context is over; then what it has taken is
+// settled first, within the longest op timeout. It must be called once.
+func (g *Instance) Serve(ctx context.Context) error {
+	defer close(g.done)
+	stop := context.AfterFunc(ctx, func() { g.loop.Post(func() { g.drain(g.loop.Stop) }) })
+	defer stop()
+	// An empty list as last seen starts the module, which asks for the watch.
+	g.loop.Post(func() { g.tell(honeyplank.List{Kind: honeyplank.Remembered}) })
+	err := g.loop.Run()
+	g.source.Close()
+	return err
+}
+
+// Shutdown takes no more ops, waits until every op taken has its answer and is sent, and ends Serve. When
+// the context is over first, the rest are aborted at once. An instance that was never served must be.
+func (g *Instance) Shutdown(ctx context.Context) error {
+	if !g.loop.Post(func() { g.drain(g.loop.Stop) }) {
+		return nil
+	}
+	select {
+	case <-g.done:
+		return nil
+	case <-ctx.Done():
+	}
+	g.loop.Post(func() {
+		for _, p := range g.open() {
+			g.answer(p, nvme.InternalError|nvme.DoNotRetry, 0, nil)
+			g.counts.Aborted++
+			g.tell(honeyplank.Lapsed{Op: p.id})
+		}
+	})
+	<-g.done
+	return ctx.Err()
+}
+
+// Kill ends the instance as the death of its process would: connections break, nothing is settled.
+func (g *Instance) Kill() {
+	g.loop.Post(func() {
+		g.server.Cut(true)
+		for _, d := range g.disks {
+			if d.link != nil {
+				d.link.Close()
+			}
+		}
+		g.loop.Stop()
+	})
+	<-g.done
+}
+
+// Counts asks the loop what it has done; an instance that has ended answers nothing.
+func (g *Instance) Counts() (c Counts, ok bool) {
+	answer := make(chan Counts, 1)
+	if !g.loop.Post(func() {
+		c := g.counts
+		c.Held, c.Connections = g.server.Buffers.Held, g.server.Connections()
+		for _, p := range g.ops {
+			if !p.over {
+				c.Open++
+			}
+			c.Out += p.live
+		}
+		answer <- c
+	}) {
+		return c, false
+	}
+	select {
+	case c = <-answer:
+		return c, true
+	case <-g.done:
+		return c, false
+	}
+}
+
+// drain stops taking ops and calls then once all that were taken are settled and their answers are sent.
+func (g *Instance) drain(then func()) {
+	if g.ending {
+		return
+	}
+	g.ending = true
+	g.server.Shut = true
+	g.log.Info().Int("open", len(g.open())).Msg("no more ops are taken")
+	g.settled = func() {
+		g.settled = nil
+		g.source.Watch(false)
+		g.server.Close()
+		for _, d := range g.disks {
+			if d.link != nil {
+				d.link.Close()
+			}
+		}
+		// Two rounds later what could be sent at once has been sent.
+		g.loop.AtTime(0, func() { g.loop.AtTime(0, then) })
+	}
+	g.check()
+}
+
+func (g *Instance) check() {
+	if g.settled != nil && len(g.open()) == 0 {
+		g.settled()
+	}
+}
+
+// open lists the ops that are owed an answer, in the order taken.
+func (g *Instance) open() (list []*op) {
+	for _, p := range g.ops {
+		if !p.over {
+			list = append(list, p)
+		}
+	}
+	slices.SortFunc(list, func(a, b *op) int { return int(a.serial) - int(b.serial) })
+	return list
+}
+
+// tell hands an event to the module and does what it says. What happens meanwhile waits its turn.
+func (g *Instance) tell(e honeyplank.Event) {
+	g.queue = append(g.queue, e)
+	if g.telling {
+		return
+	}
+	g.telling = true
+	for len(g.queue) > 0 {
+		next := g.queue[0]
+		g.queue = g.queue[1:]
+		g.counts.Events++
+		for _, a := range g.module.Handle(g.loop.Now(), next) {
+			g.act(a)
+		}
+	}
+	g.queue, g.telling = nil, false
+	g.check()
+}
+
+func (g *Instance) act(action honeyplank.Action) {
+	switch a := action.(type) {
+	case honeyplank.Dispatch:
+		g.dispatch(a)
+	case honeyplank.Throttle:
+		if p := g.owed(a.Op); p != nil {
+			g.counts.Throttled++
+			g.answer(p, nvme.CommandInterrupted.WithDelay(g.delay(a.RetryAfter)), uint32(a.RetryAfter/time.Millisecond), nil)
+		}
+	case honeyplank.Abort:
+		if p := g.owed(a.Op); p != nil {
+			g.counts.Aborted++
+			g.answer(p, nvme.InternalError|nvme.DoNotRetry, 0, nil)
+		}
+	case honeyplank.Cancel:
+		if p := g.ops[a.Op]; p != nil && a.Dispatch >= 0 && a.Dispatch < len(p.sends) {
+			p.sends[a.Dispatch].stop(honeyplank.Cancelled)
+		}
+	case honeyplank.Probe:
+		g.probe(a.OSD)
+	case honeyplank.CloseIdle:
+		if d := g.disks[a.OSD]; d != nil {
+			d.closeIdle()
+		}
+	case honeyplank.Log:
+		g.log.Warn().Msg(a.Text)
+	case honeyplank.Watch:
+		g.source.Watch(a.On)
+	case honeyplank.Fetch:
+		g.source.Fetch()
+	case honeyplank.SetTimer:
+		g.loop.AtTime(a.At, func() { g.tell(honeyplank.Timer{Name: a.Name}) })
+	}
+}
+
+// delay is the CRD index whose time is the least that is not under the advice; 0: no advice.
+func (g *Instance) delay(advice time.Duration) int {
+	for i, d := range g.advice {
+		if advice > 0 && advice <= d {
+			return i + 1
+		}
+	}
+	if advice > 0 {
+		return len(g.advice)
+	}
+	return 0
+}
+
+// ---- The list ----
+
+func (g *Instance) news(n members.News) {
+	for _, text := range n.Skipped {
+		g.log.Warn().Str("why", text).Msg("a list entry is passed over")
+	}
+	if n.Err != nil {
+		g.log.Warn().Err(n.Err).Msg("the list can't be followed")
+	}
+	list := honeyplank.List{Kind: n.Kind, Version: n.Revision}
+	for _, node := range n.Nodes {
+		m := honeyplank.Member{OSD: honeyplank.OSDID(node.Address), Size: max(node.Size, 0), Model: node.Model, Zone: node.Zone, Cell: node.Cell}
+		if node.StartedMS > 0 { // a clock that runs ahead there must not put a start into the future
+			m.Started = max(min(g.loop.Span(time.UnixMilli(node.StartedMS)), g.loop.Now()), 0)
+		}
+		switch {
+		case node.Gone:
+			m.State = honeyplank.Gone
+		case node.State == "draining":
+			m.State = honeyplank.Draining
+		}
+		list.Members = append(list.Members, m)
+	}
+	g.tell(list)
+}
--- /dev/null
+++ b/loop/loop.go
@@ -0,0 +1,553 @@
+// Package loop is the event loop that one instance runs on: epoll over non-blocking sockets, timers, and an
+// eventfd by which other goroutines hand it work. Everything it calls runs on the goroutine of Run, so what
+// hangs on one loop needs no locks. It knows bytes and connections, no protocol, and decides nothing.
+package loop
+
+import (
+	"container/heap"
+	"encoding/binary"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Stats counts what a loop has done since it was made. It is safe to read from any goroutine.
+type Stats struct {
+	Waits, Reads, Writes, Others atomic.Int64 // system calls
+	BytesIn, BytesOut            atomic.Int64
+	Copied                       atomic.Int64 // bytes that protocol code copied between buffers
+}
+
+// Calls is the number of system calls.
+func (s *Stats) Calls() int64 {
+	return s.Waits.Load() + s.Reads.Load() + s.Writes.Load() + s.Others.Load()
+}
+
+// Loop is one event loop. Only Post, Stop and Stats may be used from other goroutines.
+type Loop struct {
+	Stats  Stats
+	epoll  int
+	wake   int
+	start  time.Time
+	files  map[int32]entry
+	uses   int32 // numbers the uses of descriptors
+	timers timers
+	dirty  []*Conn
+	in     []byte // where reads go first
+	mu     sync.Mutex
+	posted []func()
+	open   bool // Post is still heard
+	woken  bool
+	ending bool
+}
+
+// file is what hangs on a descriptor. Each use of a descriptor has a number of its own, since an event of a
+// closed one may still wait in the round in which the kernel gives the same descriptor out again.
+type file interface{ ready(events uint32) }
+
+type entry struct {
+	file
+	use int32
+}
+
+// readSize is how much one read takes at most.
+const readSize = 256 << 10
+
+// New makes a loop. Its clock starts at origin: Now is origin plus the time since New.
+func New(origin time.Duration) (*Loop, error) {
+	ep, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
+	if err != nil {
+		return nil, err
+	}
+	ev, err := unix.Eventfd(0, unix.EFD_NONBLOCK|unix.EFD_CLOEXEC)
+	if err != nil {
+		unix.Close(ep)
+		return nil, err
+	}
+	l := &Loop{epoll: ep, wake: ev, start: time.Now().Add(-origin), files: map[int32]entry{}, in: make([]byte, readSize), open: true}
+	if err := l.add(ev, unix.EPOLLIN, wakeFile{l}); err != nil {
+		unix.Close(ep)
+		unix.Close(ev)
+		return nil, err
+	}
+	return l, nil
+}
+
+// Now is the span since the start of the loop's clock; At turns it into a wall clock time.
+func (l *Loop) Now() time.Duration              { return time.Since(l.start) }
+func (l *Loop) At(span time.Duration) time.Time { return l.start.Add(span) }
+func (l *Loop) Span(at time.Time) time.Duration { return at.Sub(l.start) }
+
+// Post has f run on the loop, in the order of the calls. It tells whether f will run: after the loop has
+// ended nothing does.
+func (l *Loop) Post(f func()) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.open {
+		return false
+	}
+	l.posted = append(l.posted, f)
+	if !l.woken {
+		l.woken = true
+		var one [8]byte
+		binary.NativeEndian.PutUint64(one[:], 1)
+		unix.Write(l.wake, one[:])
+	}
+	return true
+}
+
+// Stop ends Run after the present round. It must be called on the loop.
+func (l *Loop) Stop() { l.ending = true }
+
+// Run serves until Stop, then closes all that is open, without telling its owners.
+func (l *Loop) Run() error {
+	events := make([]unix.EpollEvent, 256)
+	var err error
+	for !l.ending {
+		n := 0
+		l.Stats.Waits.Add(1)
+		if n, err = unix.EpollWait(l.epoll, events, l.timers.wait(l.Now())); err != nil {
+			if errors.Is(err, unix.EINTR) {
+				continue
+			}
+			break
+		}
+		for _, e := range events[:n] {
+			if f, ok := l.files[e.Fd]; ok && f.use == e.Pad {
+				f.ready(e.Events)
+			}
+		}
+		l.timers.fire(l.Now)
+		l.flush()
+	}
+	l.mu.Lock()
+	l.open, l.posted = false, nil
+	l.mu.Unlock()
+	for fd := range l.files {
+		unix.Close(int(fd))
+	}
+	unix.Close(l.epoll)
+	return err
+}
+
+// flush writes what the round has produced, once for each connection.
+func (l *Loop) flush() {
+	for len(l.dirty) > 0 {
+		dirty := l.dirty
+		l.dirty = nil
+		for _, c := range dirty {
+			c.queued = false
+			c.write()
+		}
+	}
+}
+
+type wakeFile struct{ l *Loop }
+
+func (w wakeFile) ready(uint32) {
+	var b [8]byte
+	w.l.Stats.Others.Add(1)
+	unix.Read(w.l.wake, b[:])
+	w.l.mu.Lock()
+	posted := w.l.posted
+	w.l.posted, w.l.woken = nil, false
+	w.l.mu.Unlock()
+	for _, f := range posted {
+		f()
+	}
+}
+
+func (l *Loop) add(fd int, events uint32, f file) error {
+	l.uses++
+	l.files[int32(fd)] = entry{f, l.uses}
+	return l.control(unix.EPOLL_CTL_ADD, fd, events)
+}
+
+func (l *Loop) control(how, fd int, events uint32) error {
+	l.Stats.Others.Add(1)
+	return unix.EpollCtl(l.epoll, how, fd, &unix.EpollEvent{Events: events, Fd: int32(fd), Pad: l.files[int32(fd)].use})
+}
+
+func (l *Loop) drop(fd int) {
+	delete(l.files, int32(fd))
+	l.Stats.Others.Add(1)
+	unix.Close(fd)
+}
+
+// ---- Timers ----
+
+// Timer is a call due at a time of the loop's clock.
+type Timer struct {
+	at    time.Duration
+	run   func()
+	index int // in the heap; -1: done
+}
+
+// At has run called at a time of the loop's clock, or in the next round if that has passed.
+func (l *Loop) AtTime(at time.Duration, run func()) *Timer {
+	t := &Timer{at: at, run: run}
+	heap.Push(&l.timers, t)
+	return t
+}
+
+// Cancel takes a timer back; one that is nil or has run is left alone.
+func (l *Loop) Cancel(t *Timer) {
+	if t != nil && t.index >= 0 {
+		heap.Remove(&l.timers, t.index)
+	}
+}
+
+type timers []*Timer
+
+func (h timers) Len() int           { return len(h) }
+func (h timers) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h timers) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+func (h *timers) Push(x any) {
+	t := x.(*Timer)
+	t.index = len(*h)
+	*h = append(*h, t)
+}
+func (h *timers) Pop() any {
+	last := len(*h) - 1
+	t := (*h)[last]
+	(*h)[last], *h = nil, (*h)[:last]
+	t.index = -1
+	return t
+}
+
+// wait is how long epoll may wait, in milliseconds, rounded up.
+func (h timers) wait(now time.Duration) int {
+	if len(h) == 0 {
+		return -1
+	}
+	return int(max(0, min(h[0].at-now+time.Millisecond-1, time.Hour)) / time.Millisecond)
+}
+
+func (h *timers) fire(now func() time.Duration) {
+	for at := now(); len(*h) > 0 && (*h)[0].at <= at; {
+		heap.Pop(h).(*Timer).run()
+	}
+}
+
+// ---- Connections ----
+
+// Handler is told what becomes of a connection.
+type Handler interface {
+	// Opened tells that a dialled connection stands.
+	Opened(*Conn)
+	// Input hands over bytes and returns how many were used; the rest comes again with more behind it.
+	Input(c *Conn, b []byte) int
+	// Closed tells, once, that the connection is gone; err is nil if the other end closed it in order. It is
+	// not called for Close.
+	Closed(c *Conn, err error)
+}
+
+// Conn is a TCP connection on a loop.
+type Conn struct {
+	// Out is what is to be sent; append to it and call Send.
+	Out []byte
+	// Tap, where set, sees the bytes that cross the socket, in order; sent tells which way. No bytes: the end.
+	Tap func(sent bool, b []byte)
+
+	l       *Loop
+	fd      int
+	h       Handler
+	left    []byte // read and not yet used
+	sent    int    // bytes of Out that are gone already
+	events  uint32
+	dialing bool
+	paused  bool
+	queued  bool
+	closed  bool
+	ending  bool // close once Out is sent
+}
+
+func (c *Conn) Loop() *Loop { return c.l }
+
+// Unsent is how many bytes of Out wait for the other end to read.
+func (c *Conn) Unsent() int { return len(c.Out) - c.sent }
+
+// Send has Out written at the end of the round.
+func (c *Conn) Send() {
+	if !c.queued && !c.closed && !c.dialing && len(c.Out) > c.sent {
+		c.queued = true
+		c.l.dirty = append(c.l.dirty, c)
+	}
+}
+
+// Pause stops reading until Resume.
+func (c *Conn) Pause() { c.paused = true; c.watch() }
+
+// Resume reads again. What came before and was not used is offered once more.
+func (c *Conn) Resume() {
+	if !c.paused || c.closed {
+		return
+	}
+	c.paused = false
+	c.watch()
+	if len(c.left) > 0 {
+		c.l.AtTime(0, func() { c.input(nil) })
+	}
+}
+
+// Close ends the connection at once, with a reset if data was left unread; Closed is not called.
+func (c *Conn) Close() {
+	if !c.closed {
+		c.closed = true
+		c.l.drop(c.fd)
+		if c.Tap != nil {
+			c.Tap(false, nil)
+		}
+	}
+}
+
+// linger is how long Finish waits for an end that does not read.
+const linger = time.Second
+
+// Finish closes once what is in Out has been sent, the other end has gone, or a second has passed. What still
+// comes is dropped.
+func (c *Conn) Finish() {
+	if c.ending || c.closed {
+		return
+	}
+	c.ending, c.left = true, nil
+	c.Resume()
+	c.Send()
+	if c.Unsent() == 0 {
+		c.Close()
+		return
+	}
+	c.l.AtTime(c.l.Now()+linger, c.Close)
+}
+
+func (c *Conn) fail(err error) {
+	if c.closed {
+		return
+	}
+	c.Close()
+	if !c.ending {
+		c.h.Closed(c, err)
+	}
+}
+
+func (c *Conn) watch() {
+	var want uint32
+	if !c.paused && !c.dialing {
+		want |= unix.EPOLLIN
+	}
+	if c.dialing || c.sent < len(c.Out) && !c.queued {
+		want |= unix.EPOLLOUT
+	}
+	if want != c.events && !c.closed {
+		c.events = want
+		c.l.control(unix.EPOLL_CTL_MOD, c.fd, want)
+	}
+}
+
+func (c *Conn) ready(events uint32) {
+	if c.dialing {
+		c.dialing = false
+		if n, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR); err != nil || n != 0 {
+			c.fail(errors.Join(err, unix.Errno(n)))
+			return
+		}
+		c.h.Opened(c)
+		c.watch()
+		c.Send()
+		return
+	}
+	if events&unix.EPOLLOUT != 0 {
+		c.write()
+	}
+	if events&(unix.EPOLLIN|unix.EPOLLHUP|unix.EPOLLERR) != 0 && !c.closed {
+		if c.paused && events&(unix.EPOLLHUP|unix.EPOLLERR) != 0 {
+			c.fail(unix.ECONNRESET)
+		} else if !c.paused {
+			c.read()
+		}
+	}
+}
+
+func (c *Conn) read() {
+	c.l.Stats.Reads.Add(1)
+	n, err := unix.Read(c.fd, c.l.in)
+	switch {
+	case errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR):
+	case err != nil:
+		c.fail(err)
+	case n == 0:
+		c.fail(nil)
+	default:
+		c.l.Stats.BytesIn.Add(int64(n))
+		if c.Tap != nil {
+			c.Tap(false, c.l.in[:n])
+		}
+		c.input(c.l.in[:n])
+	}
+}
+
+// input offers b behind what was left.
+func (c *Conn) input(b []byte) {
+	if c.closed || c.ending {
+		return
+	}
+	if len(c.left) > 0 {
+		c.left = append(c.left, b...)
+		c.l.Stats.Copied.Add(int64(len(b)))
+		b = c.left
+	}
+	used := 0
+	if !c.paused {
+		used = c.h.Input(c, b)
+	}
+	if c.closed {
+		return
+	}
+	rest := b[used:]
+	c.l.Stats.Copied.Add(int64(len(rest)))
+	c.left = append(c.left[:0], rest...)
+	if len(c.left) == 0 && cap(c.left) > readSize {
+		c.left = nil
+	}
+	c.Send()
+}
+
+func (c *Conn) write() {
+	for !c.closed && c.sent < len(c.Out) {
+		c.l.Stats.Writes.Add(1)
+		n, err := unix.Write(c.fd, c.Out[c.sent:])
+		if errors.Is(err, unix.EAGAIN) {
+			break
+		}
+		if errors.Is(err, unix.EINTR) {
+			continue
+		}
+		if err != nil {
+			c.fail(err)
+			return
+		}
+		if c.Tap != nil {
+			c.Tap(true, c.Out[c.sent:c.sent+n])
+		}
+		c.l.Stats.BytesOut.Add(int64(n))
+		c.sent += n
+	}
+	switch {
+	case c.sent == len(c.Out):
+		c.Out, c.sent = c.Out[:0], 0
+		if cap(c.Out) > readSize {
+			c.Out = nil
+		}
+		if c.ending {
+			c.Close()
+		}
+	case c.sent > readSize:
+		c.Out = append(c.Out[:0], c.Out[c.sent:]...)
+		c.sent = 0
+	}
+	c.watch()
+}
+
+// Dial starts a connection to an IPv4 address and port; the handler hears Opened or Closed later.
+func (l *Loop) Dial(address string, h Handler) (*Conn, error) {
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
+	}
+	fd, err := socket()
+	if err != nil {
+		return nil, err
+	}
+	l.Stats.Others.Add(2)
+	err = unix.Connect(fd, &unix.SockaddrInet4{Port: int(to.Port()), Addr: to.Addr().Unmap().As4()})
+	if err != nil && !errors.Is(err, unix.EINPROGRESS) {
+		unix.Close(fd)
+		return nil, err
+	}
+	c := &Conn{l: l, fd: fd, h: h, dialing: true, events: unix.EPOLLOUT}
+	return c, l.add(fd, c.events, c)
+}
+
+// Listener accepts connections.
+type Listener struct {
+	l      *Loop
+	fd     int
+	accept func(*Conn) Handler
+	closed bool
+}
+
+// Listen accepts on an IPv4 address and port, 0 for any; accept gives each connection its handler, or nil to
+// turn it away.
+func (l *Loop) Listen(address string, accept func(*Conn) Handler) (*Listener, error) {
+	at, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
+	}
+	fd, err := socket()
+	if err != nil {
+		return nil, err
+	}
+	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	if err = unix.Bind(fd, &unix.SockaddrInet4{Port: int(at.Port()), Addr: at.Addr().Unmap().As4()}); err == nil {
+		err = unix.Listen(fd, 1024)
+	}
+	if err != nil {
+		unix.Close(fd)
+		return nil, &net.OpError{Op: "listen", Net: "tcp", Err: err}
+	}
+	n := &Listener{l: l, fd: fd, accept: accept}
+	return n, l.add(fd, unix.EPOLLIN, n)
+}
+
+func socket() (int, error) {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err == nil {
+		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	}
+	return fd, err
+}
+
+// Address is where the listener listens.
+func (n *Listener) Address() string {
+	if sa, err := unix.Getsockname(n.fd); err == nil {
+		if in, ok := sa.(*unix.SockaddrInet4); ok {
+			return netip.AddrPortFrom(netip.AddrFrom4(in.Addr), uint16(in.Port)).String()
+		}
+	}
+	return ""
+}
+
+// Close stops accepting.
+func (n *Listener) Close() {
+	if !n.closed {
+		n.closed = true
+		n.l.drop(n.fd)
+	}
+}
+
+func (n *Listener) ready(uint32) {
+	for !n.closed {
+		n.l.Stats.Others.Add(1)
+		fd, _, err := unix.Accept4(n.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		if err != nil {
+			return
+		}
+		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+		c := &Conn{l: n.l, fd: fd, events: unix.EPOLLIN}
+		if c.h = n.accept(c); c.h == nil {
+			unix.Close(fd)
+			continue
+		}
+		if err := n.l.add(fd, c.events, c); err != nil {
+			c.fail(err)
+		}
+	}
+}
--- /dev/null
+++ b/nvme/identify.go
@@ -0,0 +1,143 @@
+package nvme
+
+import "encoding/binary"
+
+// IdentifyLen is the size of every Identify data structure (Base 5.17).
+const IdentifyLen = 4096
+
+// Controller is what Identify Controller tells of a controller here (Base 5.17.2.1); all else is zero.
+type Controller struct {
+	ID             uint16
+	Serial         string
+	Model          string
+	Subsystem      string
+	MaxTransfer    uint8     // MDTS: a power of two of 4 KiB; 0: no bound
+	RetryDelay     [3]uint16 // CRDT1 to CRDT3, in units of 100 ms
+	Namespaces     uint32    // NN
+	MaxCommands    uint16    // MAXCMD
+	CapsuleBytes   int       // command capsule size in bytes, with its data (IOCCSZ counts 16 bytes)
+	KeepAliveUnits uint16    // KAS, in units of 100 ms
+	Discovery      bool
+}
+
+// AppendController appends the Identify Controller data structure.
+func AppendController(dst []byte, c Controller) []byte {
+	at := len(dst)
+	dst = append(dst, make([]byte, IdentifyLen)...)
+	d, le := dst[at:], binary.LittleEndian
+	padded(d[4:24], c.Serial)
+	padded(d[24:64], c.Model)
+	padded(d[64:72], "1")
+	d[77] = c.MaxTransfer
+	le.PutUint16(d[78:], c.ID)
+	le.PutUint32(d[80:], Version)
+	d[111] = 1 // CNTRLTYPE: I/O controller
+	if c.Discovery {
+		d[111] = 2
+	}
+	for i, v := range c.RetryDelay {
+		le.PutUint16(d[128+2*i:], v)
+	}
+	d[258] = 3                                        // ACL: four Aborts at a time, 0's based
+	d[259] = 3                                        // AERL
+	d[261] = 1 << 2                                   // LPA: log pages take an offset
+	le.PutUint16(d[320:], c.KeepAliveUnits)           // KAS
+	d[512], d[513] = 0x66, 0x44                       // SQES, CQES: 64 and 16 bytes
+	le.PutUint16(d[514:], c.MaxCommands)              // MAXCMD
+	le.PutUint32(d[516:], c.Namespaces)               // NN
+	le.PutUint32(d[536:], 1|1<<20|1<<2)               // SGLS: supported, offsets, keyed none
+	copy(d[768:1023], c.Subsystem)                    // SUBNQN
+	le.PutUint32(d[1792:], uint32(c.CapsuleBytes/16)) // IOCCSZ
+	le.PutUint32(d[1796:], 1)                         // IORCSZ: 16 bytes
+	d[1803] = 1                                       // MSDBD: one descriptor
+	return dst
+}
+
+// CapsuleBytes reads IOCCSZ of an Identify Controller data structure, in bytes.
+func CapsuleBytes(d []byte) int { return 16 * int(binary.LittleEndian.Uint32(d[1792:])) }
+
+// RetryDelays reads CRDT1 to CRDT3, in units of 100 ms.
+func RetryDelays(d []byte) (v [3]uint16) {
+	for i := range v {
+		v[i] = binary.LittleEndian.Uint16(d[128+2*i:])
+	}
+	return v
+}
+
+// Version is VS for revision 2.0 (Base 3.1.3.2).
+const Version = 0x00020000
+
+func padded(dst []byte, s string) {
+	for i := copy(dst, s); i < len(dst); i++ {
+		dst[i] = ' '
+	}
+}
+
+// AppendNamespace appends an Identify Namespace data structure (NVM 4.1.5.1) of a size in blocks.
+func AppendNamespace(dst []byte, blocks uint64, blockShift uint8) []byte {
+	at := len(dst)
+	dst = append(dst, make([]byte, IdentifyLen)...)
+	d, le := dst[at:], binary.LittleEndian
+	le.PutUint64(d[0:], blocks)
+	le.PutUint64(d[8:], blocks)
+	le.PutUint64(d[16:], blocks)
+	le.PutUint32(d[128:], uint32(blockShift)<<16) // LBAF0
+	return dst
+}
+
+// Namespace reads size in blocks and block shift from an Identify Namespace data structure.
+func Namespace(d []byte) (blocks uint64, blockShift uint8) {
+	return binary.LittleEndian.Uint64(d), uint8(binary.LittleEndian.Uint32(d[128+4*int(d[26]&0xF):]) >> 16)
+}
+
+// AppendActive appends the active namespace list (Base 5.17.2.2): ids above after, in order.
+func AppendActive(dst []byte, after uint32, ids []uint32) []byte {
+	at := len(dst)
+	dst = append(dst, make([]byte, IdentifyLen)...)
+	d := dst[at:]
+	for _, id := range ids {
+		if id > after && len(d) >= 4 {
+			binary.LittleEndian.PutUint32(d, id)
+			d = d[4:]
+		}
+	}
+	return dst
+}
+
+// Active reads an active namespace list.
+func Active(d []byte) (ids []uint32) {
+	for ; len(d) >= 4; d = d[4:] {
+		id := binary.LittleEndian.Uint32(d)
+		if id == 0 {
+			break
+		}
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// AppendDescriptors appends the namespace identification descriptor list (Base 5.17.2.3) with one UUID.
+func AppendDescriptors(dst []byte, uuid [16]byte) []byte {
+	at := len(dst)
+	dst = append(dst, make([]byte, IdentifyLen)...)
+	dst[at], dst[at+1] = 3, 16 // NIDT UUID, NIDL
+	copy(dst[at+4:], uuid[:])
+	return dst
+}
+
+// AppendDiscovery appends a discovery log page (Base 5.16.1.23) with one entry: the subsystem at a TCP
+// address and port over IPv4.
+func AppendDiscovery(dst []byte, subsystem, address, port string) []byte {
+	at := len(dst)
+	dst = append(dst, make([]byte, 2048)...)
+	d, le := dst[at:], binary.LittleEndian
+	le.PutUint64(d[8:], 1) // NUMREC; GENCTR and RECFMT stay 0
+	e := d[1024:]
+	e[0], e[1], e[2] = 3, 1, 2 // TRTYPE TCP, ADRFAM IPv4, SUBTYPE NVM subsystem
+	le.PutUint16(e[6:], DynamicController)
+	le.PutUint16(e[8:], 32) // ASQSZ
+	padded(e[32:64], port)
+	copy(e[256:512], subsystem)
+	padded(e[512:768], address)
+	return dst
+}
--- /dev/null
+++ b/nvme/pdu.go
@@ -0,0 +1,334 @@
+// Package nvme holds the layouts of NVMe over TCP that honeyplank accepts and sends: PDUs of the TCP
+// transport, and commands, completions and data structures of the base specification. It does no I/O, keeps
+// no connection state beyond what a decoder needs, and decides nothing.
+//
+// Sources: "NVM Express TCP Transport Specification" revision 1.0 (cited as TCP), "NVM Express Base
+// Specification" revision 2.0 (cited as Base) and "NVM Command Set Specification" revision 1.0 (cited as
+// NVM). All integers on the wire are little endian.
+package nvme
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+)
+
+// PDU types (TCP 3.6.1, common header, byte 0).
+const (
+	TypeICReq       = 0x00
+	TypeICResp      = 0x01
+	TypeH2CTermReq  = 0x02
+	TypeC2HTermReq  = 0x03
+	TypeCapsuleCmd  = 0x04
+	TypeCapsuleResp = 0x05
+	TypeH2CData     = 0x06
+	TypeC2HData     = 0x07
+	TypeR2T         = 0x09
+)
+
+// Flags of the common header (TCP 3.6.1, byte 1).
+const (
+	FlagHeaderDigest = 1 << 0
+	FlagDataDigest   = 1 << 1
+	FlagLast         = 1 << 2 // H2CData, C2HData: the last PDU of a transfer
+	FlagSuccess      = 1 << 3 // C2HData: no CapsuleResp follows, the command succeeded
+)
+
+// Fatal error statuses of H2CTermReq and C2HTermReq (TCP 3.6.2.4, 3.6.2.5).
+const (
+	FatalHeaderField    = 1 // Invalid PDU Header Field; FEI is the offset of the field
+	FatalSequence       = 2 // PDU Sequence Error
+	FatalHeaderDigest   = 3 // Header Digest Error; FEI is the digest received
+	FatalDataRange      = 4 // Data Transfer Out of Range
+	FatalTransferLimit  = 5 // Data Transfer Limit Exceeded (R2T Limit Exceeded to a host)
+	FatalUnsupportedPar = 6 // Unsupported Parameter; FEI is the offset of the parameter
+)
+
+const (
+	headLen   = 8
+	digestLen = 4
+	icLen     = 128
+	cmdLen    = headLen + 64
+	respLen   = headLen + 16
+	dataLen   = 24
+	termLen   = 24
+	termData  = 128 // most bytes of the offending header that a TermReq repeats
+	// MostOffset is the largest data offset a header can state (one byte, TCP 3.6.1).
+	MostOffset = 255
+)
+
+// FatalError is a breach of the transport after which a connection ends with a TermReq.
+type FatalError struct {
+	Status uint16 // one of the Fatal constants
+	Info   uint32 // FEI: offset or digest, by status
+	Text   string
+	Header []byte // the beginning of the offending PDU
+}
+
+func (e *FatalError) Error() string { return fmt.Sprintf("nvme/tcp: %s (FES %d)", e.Text, e.Status) }
+
+func fatal(status uint16, info uint32, header []byte, format string, a ...any) error {
+	return &FatalError{status, info, fmt.Sprintf(format, a...), append([]byte(nil), header[:min(len(header), termData)]...)}
+}
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// CRC32C is the digest of headers and data (TCP 3.3.1.1).
+func CRC32C(b []byte) uint32 { return crc32.Checksum(b, castagnoli) }
+
+// PDU is one decoded PDU. Header and Data alias the buffer it was decoded from and hold only until that is
+// reused; the type-specific header begins at Header[8].
+type PDU struct {
+	Type   uint8
+	Flags  uint8
+	Header []byte
+	Data   []byte
+	// BadData tells that the data digest did not match; the transport goes on, the command fails with a
+	// transient transport error (TCP 3.3.1.1).
+	BadData bool
+}
+
+// Fields of the data and R2T PDUs (TCP 3.6.2.8 to 3.6.2.10).
+func (p *PDU) CCCID() uint16  { return binary.LittleEndian.Uint16(p.Header[8:]) }
+func (p *PDU) TTAG() uint16   { return binary.LittleEndian.Uint16(p.Header[10:]) }
+func (p *PDU) Offset() uint32 { return binary.LittleEndian.Uint32(p.Header[12:]) }
+func (p *PDU) Length() uint32 { return binary.LittleEndian.Uint32(p.Header[16:]) }
+
+// Command is the submission queue entry of a CapsuleCmd (TCP 3.6.2.6).
+func (p *PDU) Command() Command { return Command(p.Header[8:72]) }
+
+// Completion is the completion queue entry of a CapsuleResp (TCP 3.6.2.7).
+func (p *PDU) Completion() Completion { return Completion(p.Header[8:24]) }
+
+// Init holds the fields of ICReq and ICResp (TCP 3.6.2.2, 3.6.2.3).
+type Init struct {
+	Version      uint16 // PFV, 0
+	Align        uint8  // HPDA or CPDA: data offsets are multiples of (Align+1)*4 bytes
+	HeaderDigest bool
+	DataDigest   bool
+	// Limit is MAXR2T, a 0's based count, in ICReq; MAXH2CDATA in bytes in ICResp.
+	Limit uint32
+}
+
+// Init reads an ICReq or ICResp.
+func (p *PDU) Init() Init {
+	h := p.Header
+	return Init{binary.LittleEndian.Uint16(h[8:]), h[10], h[11]&1 != 0, h[11]&2 != 0, binary.LittleEndian.Uint32(h[12:])}
+}
+
+// Term reads a TermReq.
+func (p *PDU) Term() (status uint16, info uint32) {
+	return binary.LittleEndian.Uint16(p.Header[8:]), binary.LittleEndian.Uint32(p.Header[10:])
+}
+
+// Framing is what both ends of a connection agreed on in ICReq and ICResp. The zero value is what holds
+// before: no digests, no alignment beyond four bytes.
+type Framing struct {
+	HeaderDigest bool
+	DataDigest   bool
+	// Align is the alignment that the receiver of data asked for, as HPDA or CPDA.
+	Align uint8
+	// MaxData bounds the data of one PDU in bytes.
+	MaxData int
+	// FromHost tells which end sends what is decoded.
+	FromHost bool
+}
+
+// layouts tells for each type its header length, whether it may carry data, and which end sends it.
+var layouts = [...]struct {
+	known, data, host bool
+	hlen              int
+}{
+	TypeICReq: {true, false, true, icLen}, TypeICResp: {true, false, false, icLen},
+	TypeH2CTermReq: {true, true, true, termLen}, TypeC2HTermReq: {true, true, false, termLen},
+	TypeCapsuleCmd: {true, true, true, cmdLen}, TypeCapsuleResp: {true, false, false, respLen},
+	TypeH2CData: {true, true, true, dataLen}, TypeC2HData: {true, true, false, dataLen},
+	TypeR2T: {true, false, false, dataLen},
+}
+
+// Decode reads the PDU at the start of b. It returns the bytes used, 0 while more are needed, and a
+// *FatalError as soon as the header, or as much of it as is there, cannot be one. Every length is checked
+// against what the type allows before more bytes are waited for; nothing is allocated.
+func (f *Framing) Decode(b []byte) (p PDU, used int, err error) {
+	if len(b) < headLen {
+		return p, 0, nil
+	}
+	p.Type, p.Flags = b[0], b[1]
+	hlen, pdo, plen := int(b[2]), int(b[3]), binary.LittleEndian.Uint32(b[4:])
+	if int(p.Type) >= len(layouts) || !layouts[p.Type].known {
+		return p, 0, fatal(FatalHeaderField, 0, b, "PDU type %#x is unknown", p.Type)
+	}
+	way := layouts[p.Type]
+	if way.host != f.FromHost {
+		return p, 0, fatal(FatalSequence, 0, b, "PDU type %#x comes from the wrong end", p.Type)
+	}
+	if hlen != way.hlen {
+		return p, 0, fatal(FatalHeaderField, 2, b, "header length %d of type %#x is not %d", hlen, p.Type, way.hlen)
+	}
+	plain := p.Type == TypeICReq || p.Type == TypeICResp || p.Type == TypeH2CTermReq || p.Type == TypeC2HTermReq
+	wantHeader, wantData := f.HeaderDigest && !plain, f.DataDigest && !plain && way.data
+	if (p.Flags&FlagHeaderDigest != 0) != wantHeader {
+		return p, 0, fatal(FatalHeaderField, 1, b, "header digest flag does not match what was agreed")
+	}
+	least := hlen
+	if wantHeader {
+		least += digestLen
+	}
+	most := least
+	if way.data {
+		most = max(least, MostOffset) + max(f.MaxData, termData) + digestLen
+	}
+	if plen < uint32(least) || plen > uint32(most) {
+		return p, 0, fatal(FatalHeaderField, 4, b, "PDU length %d is not within %d and %d", plen, least, most)
+	}
+	size, from := int(plen), least
+	switch {
+	case p.Type == TypeH2CTermReq || p.Type == TypeC2HTermReq:
+		if size > termLen+termData {
+			return p, 0, fatal(FatalHeaderField, 4, b, "PDU length %d of a TermReq is over %d", size, termLen+termData)
+		}
+	case size > least:
+		if pdo < least || pdo > size || pdo%4 != 0 {
+			return p, 0, fatal(FatalHeaderField, 3, b, "data offset %d is not within %d and %d", pdo, least, size)
+		}
+		from = pdo
+		if (p.Flags&FlagDataDigest != 0) != wantData {
+			return p, 0, fatal(FatalHeaderField, 1, b, "data digest flag does not match what was agreed")
+		}
+		if wantData && size < from+digestLen {
+			return p, 0, fatal(FatalHeaderField, 4, b, "no room for the data digest")
+		}
+	}
+	if len(b) < size {
+		return p, 0, nil
+	}
+	p.Header = b[:hlen]
+	if wantHeader {
+		if got, sum := binary.LittleEndian.Uint32(b[hlen:]), CRC32C(p.Header); got != sum {
+			return p, 0, fatal(FatalHeaderDigest, got, b, "header digest %#x is not %#x", got, sum)
+		}
+	}
+	p.Data = b[from:size]
+	if wantData && size > least {
+		p.Data = b[from : size-digestLen]
+		p.BadData = binary.LittleEndian.Uint32(b[size-digestLen:]) != CRC32C(p.Data)
+	}
+	if (p.Type == TypeH2CData || p.Type == TypeC2HData) && int(p.Length()) != len(p.Data) {
+		return p, 0, fatal(FatalHeaderField, 16, b, "data length %d is not the %d bytes that came", p.Length(), len(p.Data))
+	}
+	if len(p.Data) > f.MaxData && !plain {
+		return p, 0, fatal(FatalTransferLimit, 0, b, "%d bytes of data are over %d", len(p.Data), f.MaxData)
+	}
+	return p, size, nil
+}
+
+// begin appends a header of hlen bytes with type and flags set and the rest zero; finish completes it.
+func begin(dst []byte, kind, flags uint8, hlen int) []byte {
+	n := len(dst)
+	dst = append(dst, make([]byte, hlen)...)
+	dst[n], dst[n+1], dst[n+2] = kind, flags, uint8(hlen)
+	return dst
+}
+
+// finish adds digests, padding and data behind a header that began at dst[at:], and sets the lengths.
+func (f *Framing) finish(dst []byte, at int, data []byte) []byte {
+	h := dst[at:]
+	hlen := len(h)
+	size := hlen
+	if f.HeaderDigest {
+		h[1] |= FlagHeaderDigest
+		size += digestLen
+	}
+	pdo := 0
+	if len(data) > 0 {
+		unit := (int(f.Align) + 1) * 4
+		pdo = (size + unit - 1) / unit * unit
+		h[3] = uint8(pdo)
+		size = pdo + len(data)
+		if f.DataDigest {
+			h[1] |= FlagDataDigest
+			size += digestLen
+		}
+	}
+	binary.LittleEndian.PutUint32(h[4:], uint32(size))
+	if f.HeaderDigest {
+		dst = binary.LittleEndian.AppendUint32(dst, CRC32C(dst[at:at+hlen]))
+	}
+	if len(data) > 0 {
+		var zero [MostOffset + 1]byte
+		dst = append(dst, zero[:pdo-(len(dst)-at)]...)
+		dst = append(dst, data...)
+		if f.DataDigest {
+			dst = binary.LittleEndian.AppendUint32(dst, CRC32C(data))
+		}
+	}
+	return dst
+}
+
+// AppendInit appends an ICReq or ICResp.
+func AppendInit(dst []byte, kind uint8, i Init) []byte {
+	at := len(dst)
+	dst = begin(dst, kind, 0, icLen)
+	h := dst[at:]
+	binary.LittleEndian.PutUint16(h[8:], i.Version)
+	h[10] = i.Align
+	if i.HeaderDigest {
+		h[11] |= 1
+	}
+	if i.DataDigest {
+		h[11] |= 2
+	}
+	binary.LittleEndian.PutUint32(h[12:], i.Limit)
+	binary.LittleEndian.PutUint32(h[4:], icLen)
+	return dst
+}
+
+// AppendTerm appends the TermReq by which the end kind names ends a connection.
+func AppendTerm(dst []byte, kind uint8, e *FatalError) []byte {
+	at := len(dst)
+	dst = begin(dst, kind, 0, termLen)
+	h := dst[at:]
+	binary.LittleEndian.PutUint16(h[8:], e.Status)
+	binary.LittleEndian.PutUint32(h[10:], e.Info)
+	binary.LittleEndian.PutUint32(h[4:], uint32(termLen+len(e.Header)))
+	return append(dst, e.Header...)
+}
+
+// AppendCommand appends a CapsuleCmd, with in-capsule data where there is some.
+func (f *Framing) AppendCommand(dst []byte, c *Command, data []byte) []byte {
+	at := len(dst)
+	dst = begin(dst, TypeCapsuleCmd, 0, cmdLen)
+	copy(dst[at+headLen:], c[:])
+	return f.finish(dst, at, data)
+}
+
+// AppendCompletion appends a CapsuleResp.
+func (f *Framing) AppendCompletion(dst []byte, c *Completion) []byte {
+	at := len(dst)
+	dst = begin(dst, TypeCapsuleResp, 0, respLen)
+	copy(dst[at+headLen:], c[:])
+	return f.finish(dst, at, nil)
+}
+
+// AppendData appends one H2CData or C2HData PDU; offset counts from the start of the command's data.
+func (f *Framing) AppendData(dst []byte, kind, flags uint8, cid, ttag uint16, offset int, data []byte) []byte {
+	at := len(dst)
+	dst = begin(dst, kind, flags, dataLen)
+	putData(dst[at:], cid, ttag, uint32(offset), uint32(len(data)))
+	return f.finish(dst, at, data)
+}
+
+// AppendR2T appends an R2T for length bytes from offset.
+func (f *Framing) AppendR2T(dst []byte, cid, ttag uint16, offset, length int) []byte {
+	at := len(dst)
+	dst = begin(dst, TypeR2T, 0, dataLen)
+	putData(dst[at:], cid, ttag, uint32(offset), uint32(length))
+	return f.finish(dst, at, nil)
+}
+
+func putData(h []byte, cid, ttag uint16, offset, length uint32) {
+	binary.LittleEndian.PutUint16(h[8:], cid)
+	binary.LittleEndian.PutUint16(h[10:], ttag)
+	binary.LittleEndian.PutUint32(h[12:], offset)
+	binary.LittleEndian.PutUint32(h[16:], length)
+}
--- /dev/null
+++ b/rehearse/baseline.go
@@ -0,0 +1,106 @@
+package rehearse
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"honeyplank"
+	"honeyplank/gateway"
+	"honeyplank/settings"
+)
+
+// Arrival makes a baseline to measure against: every op is passed on at once in order of arrival, whatever
+// the node's state, and tried no second time. It keeps no rule but the first.
+func Arrival(_ int64, _ map[string]any) gateway.Module {
+	return &arrival{holders: map[int]honeyplank.OSDID{}}
+}
+
+type arrival struct {
+	holders map[int]honeyplank.OSDID
+	asked   bool
+}
+
+func (a *arrival) Handle(now time.Duration, event honeyplank.Event) (out []honeyplank.Action) {
+	if !a.asked {
+		a.asked = true
+		out = append(out, honeyplank.Watch{On: true})
+	}
+	switch e := event.(type) {
+	case honeyplank.List:
+		if e.Kind == honeyplank.Refused {
+			return append(out, honeyplank.SetTimer{At: now + time.Second, Name: "watch"})
+		}
+		for _, m := range e.Members {
+			if m.State == honeyplank.On {
+				a.holders[m.Cell] = m.OSD
+			} else if a.holders[m.Cell] == m.OSD {
+				delete(a.holders, m.Cell)
+			}
+		}
+	case honeyplank.Timer:
+		out = append(out, honeyplank.Watch{On: true})
+	case honeyplank.Op:
+		if o, ok := a.holders[e.Cell]; ok {
+			return append(out, honeyplank.Dispatch{Op: e.ID, OSD: o})
+		}
+		return append(out, honeyplank.Abort{Op: e.ID})
+	case honeyplank.Outcome:
+		if !e.Done {
+			return append(out, honeyplank.Abort{Op: e.Op})
+		}
+	}
+	return out
+}
+
+// single are the troubles played one by one: each a bad stretch on an otherwise good day.
+var single = map[string][]settings.Trouble{
+	"died":            {{Kind: "die", Count: 1}},
+	"silent":          {{Kind: "silent", Count: 1}},
+	"many-back-cold":  {{Kind: "die", Count: 3}},
+	"short-notice":    {{Kind: "drain", Count: 2}},
+	"answers-lost":    {{Kind: "lose-answers", Count: 4, Times: 0.3}},
+	"hurry":           {{Kind: "hurry", Times: 0.2}},
+	"release":         {{Kind: "replace", Count: 3}},
+	"fails-fast":      {{Kind: "fail", Count: 1, Times: 0.7}},
+	"slow":            {{Kind: "slow", Count: 1, Times: 6}},
+	"pauses":          {{Kind: "pause", Count: 3}},
+	"surge":           {{Kind: "surge", Count: 2, Times: 8}},
+	"plan-surge":      {{Kind: "plan-surge", Plan: "standard", Times: 4}},
+	"list-stale":      {{Kind: "list-late", Times: 2}},
+	"list-down":       {{Kind: "list-down"}, {Kind: "die", Count: 1}},
+	"reports-late":    {{Kind: "stale-reports", Count: 6}},
+	"gateway-restart": {{Kind: "gateway-restart"}},
+	"clients-leave":   {{Kind: "clients-leave", Count: 3}},
+	"mute-handshake":  {{Kind: "mute-handshake", Count: 1}},
+	"cut":             {{Kind: "cut", Count: 6}},
+}
+
+// Troubles makes a script for one kind of trouble on the fleet and traffic of a script, or for all.
+func Troubles(script *settings.Gateway, name string) (map[string]*settings.Gateway, []string, error) {
+	var names []string
+	for n := range single {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	if name != "all" {
+		if single[name] == nil {
+			return nil, nil, fmt.Errorf("no trouble is called %q; there are all, %v", name, names)
+		}
+		names = []string{name}
+	}
+	out := map[string]*settings.Gateway{}
+	for _, n := range names {
+		s, r := *script, *script.Rehearsal
+		s.Rehearsal, r.Length, r.Troubles = &r, settings.Span(9*time.Second), nil
+		for _, t := range single[n] {
+			t.At, t.For = settings.Span(2*time.Second), settings.Span(2500*time.Millisecond)
+			if t.Plan != "" && s.Plan(t.Plan) < 0 {
+				t.Plan = ""
+			}
+			r.Troubles = append(r.Troubles, t)
+		}
+		out[n] = &s
+	}
+	return out, names, nil
+}
--- /dev/null
+++ b/rehearse/rehearse.go
@@ -0,0 +1,508 @@
+// Package rehearse plays a script: gateways, stand-in disk servers, a stand-in etcd and clients on loopback in
+// one process, with what goes wrong when. The audit judges the rules from what crossed the sockets. All
+// figures are of stand-ins.
+package rehearse
+
+import (
+	"context"
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"honeyplank/audit"
+	"honeyplank/gateway"
+	"honeyplank/load"
+	"honeyplank/loop"
+	"honeyplank/members"
+	"honeyplank/settings"
+	"honeyplank/standin/disk"
+	"honeyplank/standin/etcd"
+	"honeyplank/target"
+)
+
+// BadDay is the built-in script.
+//
+//go:embed badday.xml
+var BadDay []byte
+
+// Options are how a script is played.
+type Options struct {
+	Script *settings.Gateway
+	Seed   int64
+	// Module replaces the decision module of every gateway; nil: the product's own.
+	Module func(seed int64, settings map[string]any) gateway.Module
+	Log    zerolog.Logger
+}
+
+// Report is what came of it. Durations are in milliseconds.
+type Report struct {
+	Seed     int64            `json:"seed"`
+	Rules    []audit.Verdict  `json:"rules"`
+	Kept     bool             `json:"kept"`
+	Types    []TypeReport     `json:"op_types"`
+	Service  float64          `json:"service"` // utility earned of what was due
+	Gateways []gateway.Counts `json:"gateways"`
+	Fell     int              `json:"servers_fallen"`
+	Seconds  float64          `json:"seconds"`
+}
+
+// TypeReport is what became of the ops of one type.
+type TypeReport struct {
+	Name      string  `json:"name"`
+	Ops       int     `json:"ops"`
+	Tries     int     `json:"tries"`
+	Acked     int     `json:"acked"`
+	InTime    int     `json:"within_target_latency"`
+	Throttled int     `json:"throttled"`
+	Aborted   int     `json:"aborted"`
+	Lost      int     `json:"lost"`
+	Wrong     int     `json:"wrong_bytes"`
+	Target    float64 `json:"target_latency_ms"`
+	P50       float64 `json:"p50_ms"`
+	P99       float64 `json:"p99_ms"`
+	Service   float64 `json:"service"`
+}
+
+// stage is a rehearsal under way. What touches stand-ins and clients runs on its one loop.
+type stage struct {
+	o        Options
+	script   *settings.Gateway
+	loop     *loop.Loop
+	rng      *rand.Rand
+	log      *audit.Log
+	etcd     *etcd.Server
+	model    disk.Model
+	cells    map[int]*disk.Server // who serves a cell now
+	all      []*disk.Server
+	agents   map[string]int
+	load     *load.Generator
+	mu       sync.Mutex
+	gateways []*gateway.Instance
+	serving  sync.WaitGroup
+	failed   error
+}
+
+// listLag is how long the list takes to notice that a process died.
+const listLag = 300 * time.Millisecond
+
+// Run plays a script.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	if o.Script == nil || o.Script.Rehearsal == nil {
+		return nil, fmt.Errorf("rehearse: the script has no <rehearsal>")
+	}
+	began := time.Now()
+	l, err := loop.New(time.Minute)
+	if err != nil {
+		return nil, err
+	}
+	st := &stage{o: o, script: o.Script, loop: l, rng: rand.New(rand.NewSource(o.Seed)), log: audit.NewLog(), cells: map[int]*disk.Server{}, agents: map[string]int{}}
+	defer func() {
+		for _, g := range st.gateways {
+			if g != nil {
+				g.Kill()
+			}
+		}
+		if st.etcd != nil {
+			st.etcd.Close()
+		}
+	}()
+	if err := st.build(); err != nil {
+		l.Stop()
+		l.Run()
+		return nil, err
+	}
+	r := o.Script.Rehearsal
+	finished := make(chan struct{})
+	l.Post(st.begin)
+	l.AtTime(l.Now()+r.Length.D()+settle, func() { st.load.Stop(func() { close(finished) }) })
+	looped := make(chan error, 1)
+	go func() { looped <- l.Run() }()
+	select {
+	case <-finished:
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	for _, g := range st.gateways {
+		if err == nil {
+			err = g.Shutdown(ctx)
+		}
+	}
+	st.serving.Wait()
+	report := st.report()
+	l.Post(func() { st.load.Close(); l.Stop() })
+	<-looped
+	st.gateways = nil
+	if err == nil {
+		err = st.failed
+	}
+	report.Seconds = time.Since(began).Seconds()
+	return report, err
+}
+
+// settle is how long a fleet stands before the load begins to count its time.
+const settle = time.Second
+
+func (st *stage) build() (err error) {
+	s := st.script
+	if st.etcd, err = etcd.New("127.0.0.1:0"); err != nil {
+		return err
+	}
+	prefix := s.List.Prefix
+	st.etcd.Told = func(agent, key string, value []byte) {
+		st.mu.Lock()
+		n, known := st.agents[agent]
+		st.mu.Unlock()
+		if !known {
+			return
+		}
+		state, started := "gone", time.Time{}
+		var r members.Record
+		if len(value) > 0 && json.Unmarshal(value, &r) == nil {
+			state = r.State
+			if r.StartedMS > 0 {
+				started = time.UnixMilli(r.StartedMS)
+			}
+		}
+		st.log.Told(n, strings.TrimPrefix(key, prefix), state, started)
+	}
+	for n := range s.Rehearsal.Gateways {
+		st.agents[hostNQN(s, n)] = n
+	}
+	st.model = disk.Model{Fleet: s.Rehearsal.Fleet, Block: int(s.Volumes.Block), Unit: int(s.Volumes.Unit), Extent: int64(s.Volumes.Extent),
+		Meter: &disk.Meter{Period: s.Rules.MeterPeriod.D(), Rate: func(nsid uint32) float64 {
+			for _, v := range s.Volumes.List {
+				if v.NSID == nsid {
+					return s.Plans.List[s.Plan(v.Plan)].Rate
+				}
+			}
+			return 0
+		}},
+		Offer: target.Offer{Subsystem: s.DiskServers.Subsystem, Serial: "standin", MaxTransfer: int(s.Limits.Transfer), Capsule: 8 << 10, Piece: 32 << 10,
+			Depth: 1024, Queues: 8, Handshake: time.Second, Connections: 1024, Unsent: 64 << 20, Held: 256 << 20}}
+	if c := s.Rules.Cold; c != nil {
+		st.model.ColdFrom, st.model.ColdTime, st.model.Window, st.model.Multiple = c.From, c.Time.D(), c.Window.D(), c.Multiple
+	}
+	shift := uint8(0)
+	for 1<<shift < int(s.Volumes.Block) {
+		shift++
+	}
+	var cells []int
+	for _, v := range s.Volumes.List {
+		st.model.Offer.Namespaces = append(st.model.Offer.Namespaces, target.Namespace{ID: v.NSID, Blocks: uint64(v.Size) >> shift, Shift: shift})
+		cells = append(cells, v.CellList()...)
+	}
+	slices.SortFunc(st.model.Offer.Namespaces, func(a, b target.Namespace) int { return int(int64(a.ID) - int64(b.ID)) })
+	slices.Sort(cells)
+	for _, cell := range slices.Compact(cells) {
+		if _, err := st.server(cell); err != nil {
+			return err
+		}
+		st.list(cell, "on")
+	}
+	var targets []load.Target
+	for n := range s.Rehearsal.Gateways {
+		st.gateways = append(st.gateways, nil)
+		if err := st.gateway(n, "127.0.0.1:0"); err != nil {
+			return err
+		}
+		targets = append(targets, load.Target{Address: st.gateways[n].Address(), Subsystem: s.Listen.Subsystem, Tap: st.log.Client(n, int(s.Volumes.Block))})
+	}
+	r := s.Rehearsal
+	st.loop.AtTime(0, func() {
+		st.load = load.Start(st.loop, load.Options{Settings: s, Targets: targets, Traffic: r.Traffic, Clients: r.Clients, Retries: r.Retries, Seed: st.o.Seed, Expect: disk.Fill})
+	})
+	return nil
+}
+
+func hostNQN(s *settings.Gateway, n int) string { return fmt.Sprintf("%s-%d", s.Listen.Host, n) }
+
+// server makes the stand-in that serves a cell from now on.
+func (st *stage) server(cell int) (*disk.Server, error) {
+	var d *disk.Server
+	m := st.model
+	m.Tap = st.log.Disk(func() string { return d.Address() }, st.agents)
+	d, err := disk.New(st.loop, "127.0.0.1:0", m, st.rng.Int63())
+	if err != nil {
+		return nil, err
+	}
+	st.cells[cell] = d
+	st.all = append(st.all, d)
+	st.log.Server(d.Address(), audit.Place{Zone: cell % 3, Cell: cell})
+	return d, nil
+}
+
+// list tells etcd of the server of a cell.
+func (st *stage) list(cell int, state string) {
+	d := st.cells[cell]
+	r := members.Record{State: state, Size: float64(st.model.Cores), Zone: cell % 3, Cell: cell}
+	if d.Started > 0 {
+		r.StartedMS = st.loop.At(d.Started).UnixMilli()
+	}
+	value, _ := json.Marshal(r)
+	st.etcd.Set(st.script.List.Prefix+d.Address(), value)
+}
+
+// gateway starts one, at its own address of old if it had one.
+func (st *stage) gateway(n int, address string) error {
+	s := *st.script
+	s.Rehearsal, s.Scheduler.Ordinal, s.Scheduler.Hosts = nil, n, s.Rehearsal.Gateways
+	s.Listen.Address, s.Listen.Host = address, hostNQN(st.script, n)
+	s.List.Etcd = slices.Clone(s.List.Etcd[:1])
+	s.List.Etcd[0].Endpoint = st.etcd.Address()
+	g, err := gateway.New(gateway.Options{Settings: &s, Seed: st.o.Seed + int64(n), Module: st.o.Module, Log: st.o.Log.With().Int("gateway", n).Logger()})
+	if err != nil {
+		return err
+	}
+	st.gateways[n] = g
+	st.serving.Add(1)
+	go func() {
+		defer st.serving.Done()
+		g.Serve(context.Background())
+	}()
+	return nil
+}
+
+func (st *stage) begin() {
+	for _, t := range st.script.Rehearsal.Troubles {
+		st.after(settle+t.At.D(), func() {
+			st.o.Log.Info().Str("kind", t.Kind).Dur("for_ms", t.For.D()).Msg("trouble")
+			troubles[t.Kind](st, t)
+		})
+	}
+}
+
+func (st *stage) after(span time.Duration, f func()) { st.loop.AtTime(st.loop.Now()+span, f) }
+
+// pick chooses count servers of those that serve a cell now; 0: one.
+func (st *stage) pick(count int) (cells []int) {
+	for cell, d := range st.cells {
+		if d.Faults == (disk.Faults{}) && !d.Fell {
+			cells = append(cells, cell)
+		}
+	}
+	slices.Sort(cells)
+	st.rng.Shuffle(len(cells), func(i, j int) { cells[i], cells[j] = cells[j], cells[i] })
+	return cells[:min(max(count, 1), len(cells))]
+}
+
+// afflict makes faults act on some servers for a time.
+func afflict(make func(t settings.Trouble) disk.Faults) func(*stage, settings.Trouble) {
+	return func(st *stage, t settings.Trouble) {
+		for _, cell := range st.pick(t.Count) {
+			d := st.cells[cell]
+			d.Apply(make(t))
+			st.after(t.For.D(), func() { d.Apply(disk.Faults{}) })
+		}
+	}
+}
+
+// restart ends the server of a cell and brings it back cold after a time.
+func (st *stage) restart(cell int, after time.Duration) {
+	d := st.cells[cell]
+	key := st.script.List.Prefix + d.Address()
+	d.Die()
+	d.Faults.Silent = true // not to be picked meanwhile
+	if after > 2*listLag {
+		st.after(listLag, func() { st.etcd.Delete(key) })
+	}
+	st.after(after, func() {
+		if err := d.Start(); err != nil {
+			st.failed = err
+			return
+		}
+		st.cold(d)
+		st.after(listLag, func() { st.list(cell, "on") })
+	})
+}
+
+func (st *stage) cold(d *disk.Server) {
+	start := d.Started
+	st.log.Started(d.Address(), func(age time.Duration) float64 { return d.Capacity(start + age) })
+}
+
+// replace drains the server of a cell, ends it, and has a cold one take its place.
+func (st *stage) replace(cell int, notice time.Duration) {
+	d := st.cells[cell]
+	d.Faults.Draining = true
+	st.list(cell, "draining")
+	st.after(notice, func() {
+		key := st.script.List.Prefix + d.Address()
+		d.Die()
+		old := *d
+		fresh, err := st.server(cell)
+		if err != nil {
+			st.failed = err
+			return
+		}
+		fresh.Adopt(&old)
+		st.cold(fresh)
+		st.etcd.Delete(key)
+		st.list(cell, "on")
+	})
+}
+
+// troubles are what can go wrong, by their names in a script.
+var troubles = map[string]func(*stage, settings.Trouble){
+	"slow":           afflict(func(t settings.Trouble) disk.Faults { return disk.Faults{Slow: or(t.Times, 5)} }),
+	"fail":           afflict(func(t settings.Trouble) disk.Faults { return disk.Faults{Fail: or(t.Times, 0.6)} }),
+	"lose-answers":   afflict(func(t settings.Trouble) disk.Faults { return disk.Faults{Lose: or(t.Times, 0.3)} }),
+	"stale-reports":  afflict(func(settings.Trouble) disk.Faults { return disk.Faults{Stale: true} }),
+	"mute-handshake": afflict(func(settings.Trouble) disk.Faults { return disk.Faults{Mute: true} }),
+	"cut":            afflict(func(settings.Trouble) disk.Faults { return disk.Faults{Tear: true} }),
+	"pause": func(st *stage, t settings.Trouble) {
+		for _, cell := range st.pick(t.Count) {
+			st.cells[cell].Freeze(t.For.D())
+		}
+	},
+	"die": func(st *stage, t settings.Trouble) {
+		for _, cell := range st.pick(t.Count) {
+			st.restart(cell, t.For.D())
+		}
+	},
+	"silent": func(st *stage, t settings.Trouble) {
+		for _, cell := range st.pick(t.Count) {
+			d := st.cells[cell]
+			d.Apply(disk.Faults{Silent: true})
+			st.after(t.For.D(), func() { st.restart(cell, listLag) })
+		}
+	},
+	"drain": func(st *stage, t settings.Trouble) {
+		for _, cell := range st.pick(t.Count) {
+			st.replace(cell, t.For.D())
+		}
+	},
+	"replace": func(st *stage, t settings.Trouble) {
+		cells := st.pick(max(t.Count, 3))
+		for i, cell := range cells {
+			st.after(t.For.D()*time.Duration(i)/time.Duration(len(cells)), func() { st.replace(cell, t.For.D()/time.Duration(len(cells))) })
+		}
+	},
+	"surge": func(st *stage, t settings.Trouble) {
+		list := st.script.Volumes.List
+		for _, i := range st.rng.Perm(len(list))[:min(max(t.Count, 1), len(list))] {
+			st.surge(list[i].NSID, t)
+		}
+	},
+	"plan-surge": func(st *stage, t settings.Trouble) {
+		for _, v := range st.script.Volumes.List {
+			if v.Plan == t.Plan || t.Plan == "" {
+				st.surge(v.NSID, t)
+			}
+		}
+	},
+	"hurry": func(st *stage, t settings.Trouble) {
+		st.load.Hurry = or(t.Times, 0.25)
+		st.after(t.For.D(), func() { st.load.Hurry = 0 })
+	},
+	"list-down": func(st *stage, t settings.Trouble) {
+		st.etcd.Down(true)
+		st.after(t.For.D(), func() { st.etcd.Down(false) })
+	},
+	"list-late": func(st *stage, t settings.Trouble) {
+		st.etcd.Late(time.Duration(or(t.Times, 2) * float64(time.Second)))
+		st.after(t.For.D(), func() { st.etcd.Late(0) })
+		st.replace(st.pick(1)[0], t.For.D()/2)
+	},
+	"gateway-restart": func(st *stage, t settings.Trouble) {
+		n := st.rng.Intn(len(st.gateways))
+		g := st.gateways[n]
+		st.log.Killed(n)
+		address := g.Address()
+		go func() {
+			g.Kill()
+			st.loop.Post(func() {
+				st.log.Killed(n)
+				st.after(t.For.D(), func() {
+					if err := st.gateway(n, address); err != nil {
+						st.failed = err
+					}
+				})
+			})
+		}()
+	},
+	"clients-leave": func(st *stage, t settings.Trouble) { st.load.Leave(max(t.Count, 1)) },
+}
+
+func (st *stage) surge(nsid uint32, t settings.Trouble) {
+	st.load.Factor[nsid] = or(t.Times, 5)
+	st.after(t.For.D(), func() { delete(st.load.Factor, nsid) })
+}
+
+func or(x, other float64) float64 {
+	if x == 0 {
+		return other
+	}
+	return x
+}
+
+// report sums up; it waits for the loop.
+func (st *stage) report() *Report {
+	out := &Report{Seed: st.o.Seed, Kept: true}
+	for _, g := range st.gateways {
+		c, _ := g.Counts()
+		out.Gateways = append(out.Gateways, c)
+	}
+	done := make(chan struct{})
+	st.loop.Post(func() {
+		defer close(done)
+		var due, earned float64
+		for i, name := range st.load.Names() {
+			t := &st.load.ByType[i]
+			r := TypeReport{Name: name, Ops: t.Ops, Tries: t.Tries, Acked: t.Acked, InTime: t.InTime, Throttled: t.Throttled, Aborted: t.Aborted,
+				Lost: t.Lost, Wrong: t.Wrong, Target: millis(st.script.OpTypes[i].TargetLatency.D()), P50: millis(t.Quantile(0.5)), P99: millis(t.Quantile(0.99))}
+			if t.Due > 0 {
+				r.Service = t.Earned / t.Due
+			}
+			due, earned = due+t.Due, earned+t.Earned
+			out.Types = append(out.Types, r)
+		}
+		if due > 0 {
+			out.Service = earned / due
+		}
+		for _, d := range st.all {
+			if d.Fell {
+				out.Fell++
+			}
+		}
+	})
+	<-done
+	out.Rules = st.log.Judge(st.script)
+	for _, v := range out.Rules {
+		out.Kept = out.Kept && v.Kept
+	}
+	return out
+}
+
+func millis(d time.Duration) float64 {
+	return float64(d.Round(10*time.Microsecond)) / float64(time.Millisecond)
+}
+
+// String is the report for people.
+func (r *Report) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "seed %d, %.0f s; all figures are of stand-ins\n\n", r.Seed, r.Seconds)
+	for _, v := range r.Rules {
+		word := "kept"
+		if !v.Kept {
+			word = fmt.Sprintf("BROKEN %d times", v.Broken)
+		}
+		fmt.Fprintf(&b, "rule %d  %-50s %s (%d cases)", v.Rule, v.Name, word, v.Checked)
+		if v.Evidence != "" {
+			fmt.Fprintf(&b, "; %s", v.Evidence)
+		}
+		b.WriteByte('\n')
+	}
+	fmt.Fprintf(&b, "\n%-12s %6s %6s %6s %8s %9s %7s %5s %6s %9s %9s %9s %8s\n", "op type", "ops", "tries", "acked", "in time", "throttled", "aborted", "lost", "wrong", "target ms", "p50 ms", "p99 ms", "service")
+	for _, t := range r.Types {
+		fmt.Fprintf(&b, "%-12s %6d %6d %6d %8d %9d %7d %5d %6d %9.0f %9.1f %9.1f %8.3f\n", t.Name, t.Ops, t.Tries, t.Acked, t.InTime, t.Throttled, t.Aborted, t.Lost, t.Wrong, t.Target, t.P50, t.P99, t.Service)
+	}
+	fmt.Fprintf(&b, "\nservice (utility earned of what was due) %.3f; disk servers pushed over: %d\n", r.Service, r.Fell)
+	return b.String()
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,447 @@
+// Package settings reads a gateway's settings and rehearsal scripts from XML, checks them against the schema
+// beside it and among each other, and hands them over: to the module under its own names, to the rest as
+// fields. It holds no figure of its own and decides nothing.
+package settings
+
+import (
+	"encoding/xml"
+	"fmt"
+	"math/bits"
+	"net/netip"
+	"os"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"honeyplank"
+)
+
+// Span is a time such as "250ms", Bytes a size such as "64KiB".
+type (
+	Span  time.Duration
+	Bytes int64
+)
+
+func (s *Span) UnmarshalText(b []byte) error {
+	d, err := time.ParseDuration(string(b))
+	*s = Span(d)
+	return err
+}
+
+func (s Span) MarshalText() ([]byte, error) { return []byte(time.Duration(s).String()), nil }
+
+// D is the span as the standard library has it.
+func (s Span) D() time.Duration { return time.Duration(s) }
+
+var unitShifts = []struct {
+	name  string
+	shift uint
+}{{"KiB", 10}, {"MiB", 20}, {"GiB", 30}, {"TiB", 40}, {"B", 0}}
+
+func (s *Bytes) UnmarshalText(b []byte) error {
+	for _, u := range unitShifts {
+		if digits, ok := strings.CutSuffix(string(b), u.name); ok {
+			n, err := strconv.ParseInt(digits, 10, 64)
+			if err != nil || bits.Len64(uint64(n))+int(u.shift) > 62 {
+				return fmt.Errorf("size %q is too large", b)
+			}
+			*s = Bytes(n << u.shift)
+			return nil
+		}
+	}
+	return fmt.Errorf("size %q has no unit", b)
+}
+
+func (s Bytes) MarshalText() ([]byte, error) {
+	for i := len(unitShifts) - 2; i >= 0; i-- {
+		if u := unitShifts[i]; s != 0 && int64(s)%(1<<u.shift) == 0 {
+			return fmt.Appendf(nil, "%d%s", int64(s)>>u.shift, u.name), nil
+		}
+	}
+	return fmt.Appendf(nil, "%dB", int64(s)), nil
+}
+
+// Gateway is a file of settings; with Rehearsal it is a script. docs/settings.md explains each field.
+type Gateway struct {
+	XMLName xml.Name `xml:"honeyplank"`
+	Version string   `xml:"version,attr"`
+	Listen  struct {
+		Address   string `xml:"address,attr"`
+		Subsystem string `xml:"subsystem,attr"`
+		Host      string `xml:"host,attr"`
+	} `xml:"listen"`
+	List struct {
+		Etcd []struct {
+			Endpoint string `xml:"endpoint,attr"`
+		} `xml:"etcd"`
+		Prefix    string `xml:"prefix,attr"`
+		AskWithin Span   `xml:"ask-within,attr"`
+	} `xml:"list"`
+	Scheduler struct {
+		Hosts   int  `xml:"hosts,attr"`
+		Ordinal int  `xml:"ordinal,attr"`
+		Zone    int  `xml:"zone,attr,omitempty"`
+		Step    Span `xml:"step,attr,omitempty"`
+	} `xml:"scheduler"`
+	Dispatches struct {
+		Most       int  `xml:"most,attr"`
+		Parallel   bool `xml:"parallel,attr,omitempty"`
+		AdviceMost Span `xml:"advice-most,attr,omitempty"`
+	} `xml:"dispatches"`
+	OpTypes []OpType `xml:"op-types>op-type"`
+	Plans   struct {
+		List        []Plan  `xml:"plan"`
+		WithinShare float64 `xml:"within-share,attr,omitempty"`
+		Spare       float64 `xml:"spare,attr,omitempty"`
+	} `xml:"plans"`
+	Volumes struct {
+		List   []Volume `xml:"volume"`
+		Block  Bytes    `xml:"block,attr"`
+		Unit   Bytes    `xml:"unit,attr"`
+		Extent Bytes    `xml:"extent,attr"`
+		Mean   float64  `xml:"mean-units,attr"`
+	} `xml:"volumes"`
+	Rules       Rules       `xml:"rules"`
+	Limits      Limits      `xml:"limits"`
+	DiskServers DiskServers `xml:"disk-servers"`
+	Rehearsal   *Rehearsal  `xml:"rehearsal"`
+}
+
+// OpType is an op type, and which commands are of it: opcode and a range of lengths, From to To included.
+type OpType struct {
+	Name          string  `xml:"name,attr"`
+	Opcode        string  `xml:"opcode,attr"`
+	From          Bytes   `xml:"from,attr,omitempty"`
+	To            Bytes   `xml:"to,attr,omitempty"`
+	TargetLatency Span    `xml:"target-latency,attr"`
+	OpTimeout     Span    `xml:"op-timeout,attr"`
+	Utility       float64 `xml:"utility,attr"`
+	LateUtility   float64 `xml:"late-utility,attr,omitempty"`
+	Kind          string  `xml:"kind,attr"`
+	Scope         string  `xml:"scope,attr,omitempty"`
+	Remember      Span    `xml:"remember,attr,omitempty"`
+	Ordered       bool    `xml:"ordered,attr,omitempty"`
+}
+
+// Plan holds what is due to each volume of it; rates are in units a second over all gateways.
+type Plan struct {
+	Name    string  `xml:"name,attr"`
+	Rate    float64 `xml:"rate,attr"`
+	Reserve float64 `xml:"reserve,attr"`
+	Weight  float64 `xml:"weight,attr"`
+	Value   float64 `xml:"value,attr,omitempty"`
+	Limit   float64 `xml:"limit,attr,omitempty"`
+	Burst   float64 `xml:"burst,attr,omitempty"`
+	Slack   float64 `xml:"slack,attr,omitempty"`
+}
+
+// Volume is a namespace. Its extents lie on its cells in turn.
+type Volume struct {
+	NSID  uint32 `xml:"nsid,attr"`
+	Name  string `xml:"name,attr"`
+	Plan  string `xml:"plan,attr"`
+	Size  Bytes  `xml:"size,attr"`
+	Cells string `xml:"cells,attr"`
+	Hosts int    `xml:"hosts,attr,omitempty"`
+}
+
+// CellList is Cells as numbers.
+func (v *Volume) CellList() (list []int) {
+	for _, f := range strings.Fields(v.Cells) {
+		n, _ := strconv.Atoi(f)
+		list = append(list, n)
+	}
+	return list
+}
+
+// Rules are the figures of the seven rules.
+type Rules struct {
+	Cold *struct {
+		From     float64 `xml:"from,attr"`
+		Time     Span    `xml:"time,attr"`
+		Window   Span    `xml:"window,attr"`
+		Units    float64 `xml:"units,attr"`
+		Multiple float64 `xml:"multiple,attr"`
+	} `xml:"cold"`
+	Budget *struct {
+		Free   float64 `xml:"free,attr"`
+		Share  float64 `xml:"share,attr"`
+		Window Span    `xml:"window,attr"`
+	} `xml:"budget"`
+	DrainGrace   Span `xml:"drain-grace,attr"`
+	AnswerMargin Span `xml:"answer-margin,attr"`
+	OrderSettle  Span `xml:"order-settle,attr,omitempty"`
+	MeterPeriod  Span `xml:"meter-period,attr,omitempty"`
+}
+
+// Limits bound what clients may cost.
+type Limits struct {
+	Connections int   `xml:"connections,attr"`
+	Depth       int   `xml:"depth,attr"`
+	Transfer    Bytes `xml:"transfer,attr"`
+	Capsule     Bytes `xml:"capsule,attr"`
+	Piece       Bytes `xml:"piece,attr"`
+	Held        Bytes `xml:"held,attr"`
+	Unsent      Bytes `xml:"unsent,attr"`
+	Handshake   Span  `xml:"handshake,attr"`
+}
+
+// DiskServers says how to talk to them.
+type DiskServers struct {
+	Subsystem     string `xml:"subsystem,attr"`
+	ConnectWithin Span   `xml:"connect-within,attr"`
+	KeepAlive     Span   `xml:"keep-alive,attr"`
+	Depth         int    `xml:"depth,attr"`
+	Digests       bool   `xml:"digests,attr,omitempty"`
+}
+
+// Rehearsal is a script: a fleet of stand-ins, traffic, and what goes wrong when.
+type Rehearsal struct {
+	Gateways int       `xml:"gateways,attr"`
+	Length   Span      `xml:"length,attr"`
+	Clients  int       `xml:"clients,attr"`
+	Retries  int       `xml:"retries,attr,omitempty"`
+	Fleet    Fleet     `xml:"fleet"`
+	Traffic  []Traffic `xml:"traffic"`
+	Troubles []Trouble `xml:"trouble"`
+}
+
+// Fleet is what each stand-in disk server is like.
+type Fleet struct {
+	Cores        int     `xml:"cores,attr"`
+	Queue        int     `xml:"queue,attr"`
+	UnitTime     Span    `xml:"unit-time,attr"`
+	Spread       float64 `xml:"spread,attr,omitempty"`
+	Near         int     `xml:"near,attr,omitempty"`
+	NearSaves    float64 `xml:"near-saves,attr,omitempty"`
+	PutOff       float64 `xml:"put-off,attr,omitempty"`
+	PutOffEvery  Span    `xml:"put-off-every,attr,omitempty"`
+	Pause        Span    `xml:"pause,attr,omitempty"`
+	PauseEvery   Span    `xml:"pause-every,attr,omitempty"`
+	ReportsEvery Span    `xml:"reports-every,attr,omitempty"`
+}
+
+// Traffic is ops of one type over all gateways: ops a second, bytes an op, and how many of one extent come in
+// a row.
+type Traffic struct {
+	OpType string  `xml:"op-type,attr"`
+	Rate   float64 `xml:"rate,attr"`
+	Bytes  Bytes   `xml:"bytes,attr"`
+	Run    int     `xml:"run,attr,omitempty"`
+}
+
+// Trouble goes wrong At for a time, with Count servers, gateways or clients, or Times as much.
+type Trouble struct {
+	Kind  string  `xml:"kind,attr"`
+	At    Span    `xml:"at,attr"`
+	For   Span    `xml:"for,attr"`
+	Count int     `xml:"count,attr,omitempty"`
+	Times float64 `xml:"times,attr,omitempty"`
+	Plan  string  `xml:"plan,attr,omitempty"`
+}
+
+// Read reads and checks a file. What is wrong with it is a *Fault.
+func Read(file string) (*Gateway, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(file, text)
+}
+
+// Parse checks a text and reads it; file names it in faults.
+func Parse(file string, text []byte) (*Gateway, error) {
+	s, err := load()
+	if err != nil {
+		return nil, fmt.Errorf("settings: the schema: %w", err)
+	}
+	root, err := parse(file, text)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.check(file, root); err != nil {
+		return nil, err
+	}
+	g := &Gateway{}
+	if err := xml.Unmarshal(text, g); err != nil {
+		return nil, &Fault{file, root.line, err.Error(), ""}
+	}
+	if err := g.agree(file, root); err != nil {
+		return nil, err
+	}
+	return g, nil
+}
+
+// XML writes the settings out, with what was left to defaults.
+func (g *Gateway) XML() ([]byte, error) {
+	b, err := xml.MarshalIndent(g, "", "  ")
+	return append(b, '\n'), err
+}
+
+// agree checks what the schema can't say.
+func (g *Gateway) agree(file string, root *node) error {
+	type check struct {
+		ok    bool
+		at    *node
+		wrong string
+		right string
+	}
+	one := func(path string) *node { return root.pick(path)[0] }
+	block, unit, extent, l := g.Volumes.Block, g.Volumes.Unit, g.Volumes.Extent, g.Limits
+	volumes, limits, rules, disks := one("volumes"), one("limits"), one("rules"), one("disk-servers")
+	power := func(b Bytes) bool { return b > 0 && b&(b-1) == 0 }
+	checks := []check{
+		{power(block) && block >= 512 && block <= 64<<10, volumes, "block is not a power of two from 512B to 64KiB", "such as 4KiB"},
+		{unit > 0, volumes, "unit is 0", "such as 16KiB"},
+		{extent > 0 && block > 0 && extent%block == 0, volumes, "extent is not a multiple of block", ""},
+		{power(l.Transfer) && l.Transfer >= 4<<10 && l.Transfer <= 1<<20, limits, "transfer is not a power of two from 4KiB to 1MiB", "such as 128KiB"},
+		{l.Piece >= 4<<10 && l.Piece%4 == 0 && l.Piece <= 1<<20, limits, "piece is not a multiple of 4 from 4KiB to 1MiB", "such as 128KiB"},
+		{l.Capsule >= 1<<10 && l.Capsule%16 == 0 && l.Capsule <= l.Piece, limits, "capsule is not a multiple of 16 from 1KiB to piece", "such as 8KiB"},
+		{l.Depth >= 2 && l.Depth <= 1024, limits, "depth is not from 2 to 1024", "such as 128"},
+		{l.Held >= l.Transfer, limits, "held is under transfer", "at least one transfer must fit"},
+		{l.Unsent >= 4*l.Transfer, limits, "unsent is under four times transfer", "room for some answers"},
+		{l.Handshake > 0, limits, "handshake is 0", "such as 1s"},
+		{g.DiskServers.Depth >= 2 && g.DiskServers.Depth <= 1024, disks, "depth is not from 2 to 1024", "such as 256"},
+		{g.DiskServers.ConnectWithin > 0, disks, "connect-within is 0", "such as 250ms"},
+		{g.Scheduler.Ordinal < g.Scheduler.Hosts, one("scheduler"), "ordinal is not below hosts", "schedulers count from 0"},
+		{g.Rules.Cold == nil || g.Rules.Cold.From > 0 && g.Rules.Cold.Window > 0, rules, "cold has from or window 0", "leave the element out where servers start warm"},
+		{g.Rules.Budget == nil || g.Rules.Budget.Window > 0, rules, "budget has window 0", "leave the element out where there is no budget"},
+		{g.List.AskWithin > 0, one("list"), "ask-within is 0", "such as 10s"},
+	}
+	addresses := append([]*node{one("listen")}, root.pick("list/etcd")...)
+	for _, n := range addresses {
+		text := n.attributes["address"] + n.attributes["endpoint"]
+		_, err := netip.ParseAddrPort(text)
+		checks = append(checks, check{err == nil, n, fmt.Sprintf("%q is no address", text), "such as 127.0.0.1:4420"})
+	}
+	cover := map[string][][2]int64{}
+	for i, t := range g.OpTypes {
+		n := root.pick("op-types/op-type")[i]
+		to := int64(t.To)
+		if t.To == 0 {
+			to = int64(max(l.Transfer, 1))
+		}
+		for _, o := range cover[t.Opcode] {
+			checks = append(checks, check{to < o[0] || int64(t.From) > o[1], n, fmt.Sprintf("the lengths of %q overlap another op type's", t.Name), "each length of an opcode belongs to one op type"})
+		}
+		cover[t.Opcode] = append(cover[t.Opcode], [2]int64{int64(t.From), to})
+		checks = append(checks,
+			check{t.TargetLatency > 0 && t.TargetLatency <= t.OpTimeout, n, fmt.Sprintf("the target latency of %q is 0 or over its op timeout", t.Name), "an answer is wanted before the client gives up"},
+			check{g.Rules.AnswerMargin < t.OpTimeout/2, rules, fmt.Sprintf("answer-margin is half of the op timeout of %q or more", t.Name), "it is the time an answer needs to the client"},
+			check{t.Kind != "deduplicated" || t.Remember > 0, n, fmt.Sprintf("%q is deduplicated without a time", t.Name), "remember tells how long repeats are known"})
+	}
+	for _, op := range []string{"read", "write"} {
+		list := cover[op]
+		if block == 0 {
+			break
+		}
+		sort.Slice(list, func(i, j int) bool { return list[i][0] < list[j][0] })
+		next := int64(block)
+		for _, o := range list {
+			if o[0] <= next {
+				next = max(next, (o[1]/int64(block)+1)*int64(block))
+			}
+		}
+		checks = append(checks, check{next > int64(l.Transfer), one("op-types"), fmt.Sprintf("a %s of %d bytes is of no op type", op, next), "each length up to transfer needs one"})
+	}
+	for i, p := range g.Plans.List {
+		checks = append(checks, check{p.Limit == 0 || p.Burst > 0, root.pick("plans/plan")[i], fmt.Sprintf("plan %q has a limit without a burst", p.Name), "burst is the amount it fills up to"})
+	}
+	for i, v := range g.Volumes.List {
+		n := root.pick("volumes/volume")[i]
+		checks = append(checks,
+			check{v.Size > 0 && block > 0 && v.Size%block == 0, n, fmt.Sprintf("the size of %q is not a multiple of block", v.Name), ""},
+			check{v.Hosts <= g.Scheduler.Hosts, n, fmt.Sprintf("%q has more hosts than there are", v.Name), ""})
+	}
+	for _, c := range checks {
+		if !c.ok {
+			return &Fault{file, c.at.line, c.wrong, c.right}
+		}
+	}
+	return nil
+}
+
+var kinds = map[string]honeyplank.Kind{"replayable": honeyplank.Replayable, "deduplicated": honeyplank.Deduplicated, "once-only": honeyplank.OnceOnly}
+
+var scopes = map[string]honeyplank.Scope{"": honeyplank.ScopeAll, "all": honeyplank.ScopeAll, "zone": honeyplank.ScopeZone, "cell": honeyplank.ScopeCell}
+
+// Values are the settings under the module's names.
+func (g *Gateway) Values() map[string]any {
+	v := map[string]any{
+		"hosts": g.Scheduler.Hosts, "ordinal": g.Scheduler.Ordinal, "zone": g.Scheduler.Zone, "step": g.Scheduler.Step.D(),
+		"dispatches.max": g.Dispatches.Most, "dispatches.parallel": g.Dispatches.Parallel,
+		"cancel": true, "probes": true, "peers": false,
+		"throttle.advice": g.Dispatches.AdviceMost > 0, "throttle.advice.max": g.Dispatches.AdviceMost.D(),
+		"list.ask": true, "list.ask_within": g.List.AskWithin.D(),
+		"drain.grace": g.Rules.DrainGrace.D(), "answer.grace": time.Duration(0), "order.settle": g.Rules.OrderSettle.D(),
+		"units.largest": float64(g.Units(int64(g.Limits.Transfer))), "units.mean": g.Volumes.Mean,
+		"utility.share": g.Plans.WithinShare, "utility.spare": g.Plans.Spare,
+		"meter.period": g.Rules.MeterPeriod.D(), "meter.elsewhere": true,
+	}
+	if c := g.Rules.Cold; c != nil {
+		v["cold.from"], v["cold.time"], v["cold.window"] = c.From, c.Time.D(), c.Window.D()
+		v["cold.units"], v["cold.multiple"] = c.Units, c.Multiple
+	}
+	if b := g.Rules.Budget; b != nil {
+		v["budget.free"], v["budget.share"], v["budget.window"] = b.Free, b.Share, b.Window.D()
+	}
+	list(v, "optypes.target_latency", g.OpTypes, func(t OpType) time.Duration { return t.TargetLatency.D() })
+	list(v, "optypes.op_timeout", g.OpTypes, func(t OpType) time.Duration { return t.OpTimeout.D() })
+	list(v, "optypes.remember", g.OpTypes, func(t OpType) time.Duration { return t.Remember.D() })
+	list(v, "optypes.utility", g.OpTypes, func(t OpType) float64 { return t.Utility })
+	list(v, "optypes.late_utility", g.OpTypes, func(t OpType) float64 { return t.LateUtility })
+	list(v, "optypes.kind", g.OpTypes, func(t OpType) honeyplank.Kind { return kinds[t.Kind] })
+	list(v, "optypes.scope", g.OpTypes, func(t OpType) honeyplank.Scope { return scopes[t.Scope] })
+	list(v, "optypes.ordered", g.OpTypes, func(t OpType) bool { return t.Ordered })
+	list(v, "optypes.writes", g.OpTypes, func(t OpType) bool { return t.Opcode == "write" })
+	list(v, "plans.rate", g.Plans.List, func(p Plan) float64 { return p.Rate })
+	list(v, "plans.reserve", g.Plans.List, func(p Plan) float64 { return p.Reserve })
+	list(v, "plans.weight", g.Plans.List, func(p Plan) float64 { return p.Weight })
+	list(v, "plans.value", g.Plans.List, func(p Plan) float64 {
+		if p.Value == 0 {
+			return 1
+		}
+		return p.Value
+	})
+	list(v, "plans.limit", g.Plans.List, func(p Plan) float64 { return p.Limit })
+	list(v, "plans.burst", g.Plans.List, func(p Plan) float64 { return p.Burst })
+	list(v, "plans.slack", g.Plans.List, func(p Plan) float64 { return p.Slack })
+	return v
+}
+
+func list[E, T any](v map[string]any, name string, from []E, pick func(E) T) {
+	var out []T
+	for _, x := range from {
+		out = append(out, pick(x))
+	}
+	v[name] = out
+}
+
+// Units is the size of an op in units: whole ones, at least one.
+func (g *Gateway) Units(bytes int64) int64 {
+	unit := int64(g.Volumes.Unit)
+	return max((bytes+unit-1)/unit, 1)
+}
+
+// Type is the op type of a command by its length, -1 where there is none.
+func (g *Gateway) Type(write bool, bytes int64) int {
+	for i, t := range g.OpTypes {
+		if (t.Opcode == "write") == write && bytes >= int64(t.From) && (t.To == 0 || bytes <= int64(t.To)) {
+			return i
+		}
+	}
+	return -1
+}
+
+// Plan is the index of a plan by its name.
+func (g *Gateway) Plan(name string) int {
+	for i, p := range g.Plans.List {
+		if p.Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+func sorted(list []string) []string { sort.Strings(list); return list }
--- /dev/null
+++ b/target/server.go
@@ -0,0 +1,179 @@
+package target
+
+import (
+	"time"
+
+	"honeyplank/loop"
+)
+
+// Server accepts connections on a loop and drives a session for each.
+type Server struct {
+	// Buffers holds write data; whoever gives some back calls Release.
+	Buffers loop.Buffers
+	// Patience is how long the data of a Write is waited for; nil: for ever.
+	Patience func(*Command) time.Duration
+	// Tap, where set, is asked for a tap of each new connection.
+	Tap func() func(sent bool, b []byte)
+	// Deaf drops what comes on new and, with DeafAll, on all connections: faults of a stand-in.
+	Deaf, DeafAll bool
+	// Shut turns new connections away.
+	Shut bool
+	// Refused counts connections turned away, Fatal those ended for a breach of the protocol.
+	Refused, Fatal int
+
+	offer    Offer
+	handler  Handler
+	loop     *loop.Loop
+	listener *loop.Listener
+	subs     associations
+	conns    map[*conn]bool
+}
+
+// conn is a connection with its session.
+type conn struct {
+	*loop.Conn
+	server  *Server
+	session *Session
+	timer   *loop.Timer
+	deaf    bool
+}
+
+// Listen starts a server at an address.
+func Listen(l *loop.Loop, address string, offer Offer, handler Handler) (*Server, error) {
+	s := &Server{offer: offer, handler: handler, loop: l, conns: map[*conn]bool{}}
+	s.Buffers.Keep = offer.Held
+	s.subs.byID = map[uint16]*controller{}
+	var err error
+	if s.listener, err = l.Listen(address, s.accept); err != nil {
+		return nil, err
+	}
+	s.subs.address = s.listener.Address()
+	return s, nil
+}
+
+// Address is where the server listens.
+func (s *Server) Address() string { return s.subs.address }
+
+// Connections is how many stand now.
+func (s *Server) Connections() int { return len(s.conns) }
+
+// Release takes back the data of a Write and lets others use the room.
+func (s *Server) Release(b []byte) {
+	s.Buffers.Put(b)
+	s.subs.grant(&s.offer, &s.Buffers)
+}
+
+// Close stops listening and ends all connections, after what was answered has been sent. Open commands lapse.
+func (s *Server) Close() {
+	s.listener.Close()
+	for c := range s.conns {
+		c.stop(true)
+	}
+}
+
+// Cut ends all connections at once and, with listen, stops listening: what the death of a process does.
+func (s *Server) Cut(listen bool) {
+	if listen {
+		s.listener.Close()
+	}
+	for c := range s.conns {
+		c.stop(false)
+	}
+}
+
+func (s *Server) accept(raw *loop.Conn) loop.Handler {
+	if s.Shut || len(s.conns) >= s.offer.Connections {
+		s.Refused++
+		return nil
+	}
+	c := &conn{Conn: raw, server: s, deaf: s.Deaf}
+	now := s.loop.Now()
+	c.session = &Session{tear: c.tear, offer: &s.offer, subs: &s.subs, handler: s.handler, buffers: &s.Buffers, out: &raw.Out,
+		flush: c.flush, end: func() { c.stop(true) }, await: c.await, born: now, heard: now,
+		commands: map[uint16]*Command{}, tags: map[uint16]*Command{}}
+	c.session.in.FromHost = true
+	if s.Tap != nil {
+		raw.Tap = s.Tap()
+	}
+	s.conns[c] = true
+	c.watch()
+	return c
+}
+
+func (c *conn) Opened(*loop.Conn) {}
+
+func (c *conn) Input(_ *loop.Conn, b []byte) int {
+	if c.deaf || c.server.DeafAll {
+		return len(b)
+	}
+	used := c.session.Input(c.server.loop.Now(), b)
+	c.flush()
+	return used
+}
+
+func (c *conn) Closed(*loop.Conn, error) { c.gone() }
+
+// flush sends, and bounds what a client that does not read can cost: past half the bound nothing more is
+// read from it, past the bound its connection ends.
+func (c *conn) flush() {
+	c.Send()
+	switch most := c.server.offer.Unsent; {
+	case c.Unsent() > most:
+		c.stop(false)
+	case c.Unsent() > most/2:
+		c.Pause()
+	}
+}
+
+func (c *conn) await(cmd *Command) {
+	if patience := c.server.Patience; patience != nil {
+		c.server.loop.AtTime(cmd.Arrived+patience(cmd), func() { c.session.Expire(cmd) })
+	}
+}
+
+// tear sends half of what is unsent and breaks the connection in the middle of a PDU.
+func (c *conn) tear() {
+	c.Out = c.Out[:len(c.Out)-c.Unsent()/2]
+	c.gone()
+	c.Finish()
+}
+
+// stop ends the connection; in order means after its answers have been sent.
+func (c *conn) stop(inOrder bool) {
+	if !c.server.conns[c] {
+		return
+	}
+	c.gone()
+	if inOrder {
+		c.Finish()
+	} else {
+		c.Conn.Close()
+	}
+}
+
+func (c *conn) gone() {
+	if !c.server.conns[c] {
+		return
+	}
+	delete(c.server.conns, c)
+	c.server.loop.Cancel(c.timer)
+	c.session.Ended()
+}
+
+// watch looks after deadlines: of the handshake, of keep alive, and of data that a client owes.
+func (c *conn) watch() {
+	now := c.server.loop.Now()
+	next := now + c.server.offer.Handshake/4
+	if d := c.session.Deadline(); d > 0 && now >= d {
+		c.stop(false)
+		return
+	} else if d > 0 {
+		next = min(next, d)
+	}
+	if c.Unsent() < c.server.offer.Unsent/4 {
+		c.Resume()
+	}
+	if c.server.conns[c] {
+		c.timer = c.server.loop.AtTime(max(next, now+time.Millisecond), c.watch)
+	}
+}
