Hard cases of the gateway caused by tests; a stop loses no last answer; bench command

Need: each hard case wants a test that causes it, and the cost of an op wants a measurement.

Change: tests on loopback for clients that leave, silence, torn PDUs, one-byte pieces, clients that never read, stops, equal command ids, too many connections and replaced servers. Found by them: a stop closed the admin queue together with the I/O queues, and the kernel answered late bytes with a reset, so a host lost answers it had not read; connections now end I/O queues first and by half-close. Host Behavior Support (ACRE) decides whether retry delays are shown. honeyplank bench compares direct and through; standin disk|etcd run stand-ins alone.

--- a/cmd/honeyplank/main.go
+++ b/cmd/honeyplank/main.go
@@ -18,6 +18,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/rs/zerolog"
 
+	"honeyplank/bench"
 	"honeyplank/gateway"
 	"honeyplank/rehearse"
 	"honeyplank/settings"
@@ -30,6 +31,8 @@
 	Serve    serveCommand    `cmd:"" help:"Run a gateway."`
 	Settings settingsCommand `cmd:"" help:"Check and show settings."`
 	Rehearse rehearseCommand `cmd:"" help:"Play a bad day on stand-ins and judge the rules."`
+	Bench    benchCommand    `cmd:"" help:"Measure what the gateway costs, against stand-ins asked directly."`
+	Standin  standinCommand  `cmd:"" help:"Run a stand-in, to try the gateway on."`
 	Version  versionCommand  `cmd:"" help:"Tell the version."`
 }
 
@@ -227,6 +230,31 @@
 	return nil
 }
 
+type benchCommand struct {
+	Seconds float64 `help:"Length of each phase." default:"3"`
+	Depth   int     `help:"Ops out at a time at saturation." default:"128"`
+	Rate    float64 `help:"Ops a second where latency is measured." default:"1000"`
+	JSON    bool    `help:"Print the report as JSON."`
+	Check   bool    `help:"Fail when allocations, system calls or bytes copied an op have grown by over a tenth."`
+}
+
+func (c *benchCommand) Run() error {
+	r, err := bench.Run(bench.Options{Seconds: c.Seconds, Depth: c.Depth, Rate: c.Rate})
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		b, _ := json.MarshalIndent(r, "", "  ")
+		fmt.Println(string(b))
+	} else {
+		fmt.Print(r)
+	}
+	if c.Check {
+		return r.Compare(bench.Baseline)
+	}
+	return nil
+}
+
 type versionCommand struct{}
 
 func (*versionCommand) Run() error {
--- /dev/null
+++ b/cmd/honeyplank/standin.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"honeyplank/loop"
+	"honeyplank/members"
+	"honeyplank/rehearse"
+	"honeyplank/standin/disk"
+	"honeyplank/standin/etcd"
+)
+
+type standinCommand struct {
+	Disk diskCommand `cmd:"" help:"Run the disk servers of a script, until interrupted."`
+	Etcd etcdCommand `cmd:"" help:"Run an etcd with the disk servers named, until interrupted."`
+}
+
+type diskCommand struct {
+	Script string        `arg:"" help:"Script or settings with a <rehearsal>: its fleet is what the server is like."`
+	Listen string        `help:"Address to listen on." default:"127.0.0.1:0"`
+	Slow   float64       `help:"Times the service time."`
+	Fail   float64       `help:"Share of ops that fail."`
+	Lose   float64       `help:"Share of answers that never leave."`
+	Silent time.Duration `help:"Fall silent after this long; 0: never."`
+}
+
+func (c *diskCommand) Run(log zerolog.Logger) error {
+	s, err := read(c.Script)
+	if err != nil {
+		return err
+	}
+	if s.Rehearsal == nil {
+		return invalid{fmt.Errorf("%s has no <rehearsal>", c.Script)}
+	}
+	l, err := loop.New(time.Minute)
+	if err != nil {
+		return err
+	}
+	d, err := disk.New(l, c.Listen, rehearse.Model(s), time.Now().UnixNano())
+	if err != nil {
+		return err
+	}
+	d.Apply(disk.Faults{Slow: c.Slow, Fail: c.Fail, Lose: c.Lose})
+	if c.Silent > 0 {
+		l.AtTime(l.Now()+c.Silent, func() {
+			log.Warn().Msg("silent from now on")
+			d.Apply(disk.Faults{Silent: true})
+		})
+	}
+	fmt.Println(d.Address())
+	ctx, stop := signals()
+	defer stop()
+	go func() { <-ctx.Done(); l.Post(l.Stop) }()
+	return l.Run()
+}
+
+type etcdCommand struct {
+	Nodes  []string `arg:"" optional:"" help:"Addresses of disk servers; the first is listed for cell 0, and so on."`
+	Listen string   `help:"Address to listen on." default:"127.0.0.1:0"`
+	Prefix string   `help:"Prefix of the keys." default:"/honeyplank/nodes/"`
+}
+
+func (c *etcdCommand) Run() error {
+	s, err := etcd.New(c.Listen)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	for cell, address := range c.Nodes {
+		value, _ := json.Marshal(members.Record{State: "on", Size: 1, Cell: cell})
+		s.Set(c.Prefix+address, value)
+	}
+	fmt.Println(s.Address())
+	ctx, stop := signals()
+	defer stop()
+	<-ctx.Done()
+	return nil
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,7 +71,8 @@
 	Out                                      int // dispatches without an outcome now
 	Held                                     int // bytes of write data held now
 	Connections                              int
-	Events                                   int // told to the module
+	Events                                   int           // told to the module
+	CPU                                      time.Duration // used by the loop
 }
 
 type volume struct {
@@ -212,6 +213,7 @@
 	if !g.loop.Post(func() {
 		c := g.counts
 		c.Held, c.Connections = g.server.Buffers.Held, g.server.Connections()
+		c.CPU = g.loop.CPU()
 		for _, p := range g.ops {
 			if !p.over {
 				c.Open++
@@ -241,14 +243,12 @@
 	g.settled = func() {
 		g.settled = nil
 		g.source.Watch(false)
-		g.server.Close()
 		for _, d := range g.disks {
 			if d.link != nil {
 				d.link.Close()
 			}
 		}
-		// Two rounds later what could be sent at once has been sent.
-		g.loop.AtTime(0, func() { g.loop.AtTime(0, then) })
+		g.server.Close(then)
 	}
 	g.check()
 }
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,539 @@
+package gateway_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"honeyplank/gateway"
+	"honeyplank/initiator"
+	"honeyplank/loop"
+	"honeyplank/members"
+	"honeyplank/nvme"
+	"honeyplank/rehearse"
+	"honeyplank/settings"
+	"honeyplank/standin/disk"
+	"honeyplank/standin/etcd"
+)
+
+// world is a gateway with stand-ins, all on loopback.
+type world struct {
+	t     *testing.T
+	s     *settings.Gateway
+	loop  *loop.Loop
+	etcd  *etcd.Server
+	disks []*disk.Server
+	g     *gateway.Instance
+}
+
+// volume 1 lies on cells 0 and 1 by turns of an extent of 256 blocks; volume 2 on cell 1.
+const text = `<honeyplank version="1">
+  <listen address="127.0.0.1:0" subsystem="nqn.2026-12.org.honeyplank:test" host="nqn.2026-12.org.honeyplank:gateway-0"/>
+  <list prefix="/honeyplank/nodes/" ask-within="2s"><etcd endpoint="127.0.0.1:1"/></list>
+  <scheduler hosts="1" ordinal="0"/>
+  <dispatches most="4" advice-most="400ms"/>
+  <op-types>
+    <op-type name="read" opcode="read" target-latency="300ms" op-timeout="800ms" utility="1" kind="replayable"/>
+    <op-type name="write" opcode="write" to="64KiB" target-latency="300ms" op-timeout="800ms" utility="1" kind="replayable"/>
+    <op-type name="once" opcode="write" from="68KiB" target-latency="300ms" op-timeout="800ms" utility="1" kind="once-only"/>
+  </op-types>
+  <plans><plan name="all" rate="1000" reserve="1000" weight="1"/></plans>
+  <volumes block="4KiB" unit="16KiB" extent="1MiB" mean-units="1">
+    <volume nsid="1" name="a" plan="all" size="1GiB" cells="0 1"/>
+    <volume nsid="2" name="b" plan="all" size="1GiB" cells="1"/>
+  </volumes>
+  <rules drain-grace="1s" answer-margin="100ms"/>
+  <limits connections="12" depth="64" transfer="128KiB" capsule="8KiB" piece="32KiB" held="1MiB" unsent="2MiB" handshake="300ms"/>
+  <disk-servers subsystem="nqn.2026-12.org.honeyplank:disk" connect-within="200ms" keep-alive="600ms" depth="64" digests="true"/>
+  <rehearsal gateways="1" length="1s" clients="1">
+    <fleet cores="2" queue="64" unit-time="2ms"/>
+    <traffic op-type="read" rate="1" bytes="4KiB"/>
+  </rehearsal>
+</honeyplank>`
+
+// start brings up a world whose settings a test may change first.
+func start(t *testing.T, change ...func(*settings.Gateway)) *world {
+	t.Helper()
+	s, err := settings.Parse("test", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range change {
+		f(s)
+	}
+	w := &world{t: t, s: s}
+	if w.loop, err = loop.New(time.Minute); err != nil {
+		t.Fatal(err)
+	}
+	if w.etcd, err = etcd.New("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	for cell := range 2 {
+		w.add(cell)
+	}
+	ended := make(chan struct{})
+	go func() { w.loop.Run(); close(ended) }()
+	s.List.Etcd[0].Endpoint = w.etcd.Address()
+	if w.g, err = gateway.New(gateway.Options{Settings: s, Seed: 1, Log: zerolog.Nop()}); err != nil {
+		t.Fatal(err)
+	}
+	go w.g.Serve(context.Background())
+	t.Cleanup(func() {
+		w.g.Kill()
+		w.loop.Post(w.loop.Stop)
+		<-ended
+		w.etcd.Close()
+	})
+	w.eventually("the list has arrived", func() bool {
+		_, status := w.op(w.dial("probe"), nvme.NewRW(nvme.Read, 2, 0, 1), nil)
+		return status == nvme.Success
+	})
+	return w
+}
+
+// add brings up a stand-in for a cell; before the loop runs.
+func (w *world) add(cell int) *disk.Server {
+	d, err := disk.New(w.loop, "127.0.0.1:0", rehearse.Model(w.s), int64(cell))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.disks = append(w.disks, d)
+	w.list(d.Address(), cell, "on")
+	return d
+}
+
+func (w *world) list(address string, cell int, state string) {
+	value, _ := json.Marshal(members.Record{State: state, Size: 1, Cell: cell})
+	w.etcd.Set("/honeyplank/nodes/"+address, value)
+}
+
+// on runs f on the stand-ins' and clients' loop.
+func (w *world) on(f func()) {
+	done := make(chan struct{})
+	w.loop.Post(func() { f(); close(done) })
+	<-done
+}
+
+func (w *world) eventually(what string, f func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(5 * time.Second); !f(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			w.t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+func (w *world) counts() gateway.Counts {
+	c, ok := w.g.Counts()
+	if !ok {
+		w.t.Fatal("the gateway has ended")
+	}
+	return c
+}
+
+// quiet waits until nothing is owed, out or held.
+func (w *world) quiet() {
+	w.t.Helper()
+	w.eventually("all settled", func() bool { c := w.counts(); return c.Open == 0 && c.Out == 0 && c.Held == 0 })
+}
+
+type waiter struct{ ready chan error }
+
+func (h waiter) Ready(*initiator.Association) { h.ready <- nil }
+func (h waiter) Ended(_ *initiator.Association, err error) {
+	select {
+	case h.ready <- err:
+	default:
+	}
+}
+
+// dial makes a client.
+func (w *world) dial(name string) *initiator.Association {
+	w.t.Helper()
+	h := waiter{make(chan error, 2)}
+	var a *initiator.Association
+	w.on(func() {
+		a = initiator.Dial(w.loop, initiator.Terms{Address: w.g.Address(), Subsystem: w.s.Listen.Subsystem, Host: "nqn.2026-12.org.honeyplank:" + name,
+			Depth: 60, MaxData: 128 << 10, Within: time.Second, Digests: name == "digests"}, h)
+	})
+	if err := <-h.ready; err != nil {
+		w.t.Fatal(err)
+	}
+	return a
+}
+
+type answer struct {
+	data   []byte
+	status nvme.Status
+	lost   bool
+	took   time.Duration
+	dw0    uint32
+}
+
+// submit sends a Read or Write; its one answer comes on the channel.
+func (w *world) submit(a *initiator.Association, c nvme.Command, data []byte) chan answer {
+	out := make(chan answer, 4)
+	read := 0
+	if c.Opcode() == nvme.Read {
+		read = c.Blocks() * 4096
+	}
+	w.on(func() {
+		began := time.Now()
+		if _, ok := a.IO.Submit(c, data, read, initiator.CallFunc(func(r initiator.Result) {
+			out <- answer{append([]byte(nil), r.Data...), r.Status(), r.Lost, time.Since(began), r.DW0()}
+		})); !ok {
+			out <- answer{lost: true}
+		}
+	})
+	return out
+}
+
+func (w *world) op(a *initiator.Association, c nvme.Command, data []byte) ([]byte, nvme.Status) {
+	r := <-w.submit(a, c, data)
+	return r.data, r.status
+}
+
+// pattern is data that tells by itself where it belongs.
+func pattern(seed byte, blocks int) []byte {
+	b := make([]byte, blocks*4096)
+	for i := range b {
+		b[i] = seed + byte(i>>9)*31 + byte(i)
+	}
+	return b
+}
+
+// TestBytes writes and reads in capsules and by R2T, with and without digests, over extent borders of no
+// concern to the gateway, and compares byte for byte.
+func TestBytes(t *testing.T) {
+	w := start(t)
+	for n, name := range []string{"plain", "digests"} {
+		a := w.dial(name)
+		for i, blocks := range []int{1, 2, 3, 16, 32} {
+			lba, data := uint64(1000*n+i*100), pattern(byte(40*n+i), blocks)
+			if _, status := w.op(a, nvme.NewRW(nvme.Write, 1, lba, blocks), data); status != nvme.Success {
+				t.Fatalf("%s: write of %d blocks: %#x", name, blocks, status)
+			}
+			got, status := w.op(a, nvme.NewRW(nvme.Read, 1, lba, blocks), nil)
+			if status != nvme.Success || string(got) != string(data) {
+				t.Fatalf("%s: read of %d blocks: %#x, %d bytes", name, blocks, status, len(got))
+			}
+		}
+	}
+	w.quiet()
+}
+
+// TestClientLeaves breaks a client's connection before its data came, while its op is held, and while it is
+// dispatched. Nothing is owed any more, nothing leaks, and a late answer is nobody's.
+func TestClientLeaves(t *testing.T) {
+	w := start(t)
+	t.Run("before its data", func(t *testing.T) {
+		c := rawConnect(t, w, "half")
+		c.write(c.command(9, nvme.Write, 1, 0, 16, nil)) // an R2T comes, its data never does
+		c.expect(nvme.TypeR2T)
+		if h := w.counts().Held; h < 16*4096 {
+			t.Errorf("%d bytes held, a write is under way", h)
+		}
+		c.conn.Close()
+		w.quiet()
+	})
+	t.Run("held and dispatched", func(t *testing.T) {
+		w.on(func() { w.disks[1].Freeze(400 * time.Millisecond) })
+		a := w.dial("leaves")
+		var answers []chan answer
+		for i := range 40 { // more than the window: some are out, some are held
+			answers = append(answers, w.submit(a, nvme.NewRW(nvme.Read, 2, uint64(i), 1), nil))
+		}
+		w.eventually("some out", func() bool { c := w.counts(); return c.Out > 0 && c.Open > c.Out })
+		w.on(a.Close)
+		w.eventually("nothing owed", func() bool { return w.counts().Open == 0 })
+		for _, c := range answers {
+			if r := <-c; !r.lost {
+				t.Error("an answer after the connection was closed")
+			}
+		}
+		if c := w.counts(); c.Out == 0 {
+			t.Error("the disk server has answered already; nothing was tested")
+		}
+		w.quiet()
+	})
+	if data, status := w.op(w.dial("after"), nvme.NewRW(nvme.Read, 2, 5, 1), nil); status != nvme.Success || data[8] != 5 {
+		t.Errorf("afterwards: %#x", status)
+	}
+}
+
+// TestSilence has a disk server accept connections and answer nothing, from the handshake on or in service.
+// Every op has exactly one answer before its client gives up, and the other server's keep coming.
+func TestSilence(t *testing.T) {
+	for name, fault := range map[string]disk.Faults{"in service": {Silent: true}, "from the handshake on": {Mute: true}} {
+		t.Run(name, func(t *testing.T) {
+			w := start(t)
+			a := w.dial("client")
+			w.on(func() { w.disks[1].Apply(fault) })
+			var silent, sound []chan answer
+			for i := range 30 {
+				silent = append(silent, w.submit(a, nvme.NewRW(nvme.Read, 2, uint64(i), 1), nil))
+				sound = append(sound, w.submit(a, nvme.NewRW(nvme.Read, 1, uint64(i), 1), nil))
+				time.Sleep(10 * time.Millisecond)
+			}
+			for i := range silent {
+				r := <-silent[i]
+				if r.lost || r.took >= 800*time.Millisecond || r.status.Code() != nvme.CommandInterrupted {
+					t.Errorf("op %d on the silent server: %#x after %v, lost %v", i, r.status, r.took, r.lost)
+				}
+				if r.dw0 == 0 || r.status.Delay() == 0 {
+					t.Errorf("op %d is throttled without advice", i)
+				}
+				if r := <-sound[i]; r.status != nvme.Success {
+					t.Errorf("op %d on the sound server: %#x", i, r.status)
+				}
+			}
+			w.eventually("nothing owed", func() bool { return w.counts().Open == 0 })
+			// It comes back; its late answers must not be taken for others'.
+			w.on(func() { w.disks[1].Apply(disk.Faults{}) })
+			w.eventually("served again", func() bool {
+				data, status := w.op(a, nvme.NewRW(nvme.Read, 2, 77, 1), nil)
+				if status == nvme.Success && data[8] != 77 {
+					t.Fatal("another op's data")
+				}
+				return status == nvme.Success
+			})
+		})
+	}
+}
+
+// TestOnceOnly loses the answers of once-only writes: they are aborted, since a throttle would promise that
+// they did not run.
+func TestOnceOnly(t *testing.T) {
+	w := start(t)
+	a := w.dial("client")
+	w.on(func() { w.disks[1].Apply(disk.Faults{Lose: 1}) })
+	r := <-w.submit(a, nvme.NewRW(nvme.Write, 2, 0, 20), pattern(1, 20))
+	if r.status != nvme.InternalError|nvme.DoNotRetry || r.took >= 800*time.Millisecond {
+		t.Errorf("once-only, answer lost: %#x after %v", r.status, r.took)
+	}
+	w.list(w.disks[1].Address(), 1, "draining") // never sent: a throttle is harmless
+	w.eventually("throttled unsent", func() bool {
+		r := <-w.submit(a, nvme.NewRW(nvme.Write, 2, 0, 20), pattern(1, 20))
+		return r.status.Code() == nvme.CommandInterrupted
+	})
+}
+
+// TestTornAnswer has a disk server break off in the middle of a PDU: the op is tried again, and its client
+// sees one whole answer.
+func TestTornAnswer(t *testing.T) {
+	w := start(t)
+	a := w.dial("client")
+	for i := range 5 {
+		w.on(func() { w.disks[1].Apply(disk.Faults{Tear: true}) })
+		data, status := w.op(a, nvme.NewRW(nvme.Read, 2, uint64(100*i), 8), nil)
+		if status != nvme.Success || data[8] != byte(100*i) {
+			t.Fatalf("read %d: %#x", i, status)
+		}
+	}
+	if c := w.counts(); c.Dispatches < c.Taken+5 {
+		t.Errorf("%d dispatches of %d ops: nothing was torn", c.Dispatches, c.Taken)
+	}
+}
+
+// TestPieces sends every PDU of a client byte by byte.
+func TestPieces(t *testing.T) {
+	w := start(t)
+	c := rawConnect(t, w, "drip")
+	c.piece = 1
+	data := pattern(3, 4)
+	c.write(c.command(1, nvme.Write, 1, 8, 4, nil))
+	p := c.expect(nvme.TypeR2T)
+	c.write(c.frame.AppendData(nil, nvme.TypeH2CData, nvme.FlagLast, 1, p.TTAG(), 0, data))
+	if p := c.expect(nvme.TypeCapsuleResp); p.Completion() != [16]byte(p.Header[8:24]) || c.status(p) != nvme.Success {
+		t.Fatalf("write: %#x", c.status(p))
+	}
+	if got, status := w.op(w.dial("reader"), nvme.NewRW(nvme.Read, 1, 8, 4), nil); status != nvme.Success || string(got) != string(data) {
+		t.Fatal("what was read is not what was written byte by byte")
+	}
+}
+
+// TestNeverReads has a client send reads and never read an answer: what it may cost is bounded, and others
+// keep their service.
+func TestNeverReads(t *testing.T) {
+	w := start(t)
+	c := rawConnect(t, w, "deaf")
+	c.conn.(*net.TCPConn).SetReadBuffer(4096)
+	other := w.dial("other")
+	go func() {
+		for id := uint16(0); id < 60; id++ {
+			if _, err := c.conn.Write(c.command(id, nvme.Read, 1, 0, 32, nil)); err != nil {
+				return
+			}
+		}
+	}()
+	for i := range 50 {
+		if _, status := w.op(other, nvme.NewRW(nvme.Read, 2, uint64(i), 1), nil); status != nvme.Success {
+			t.Errorf("another client's op %d: %#x", i, status)
+		}
+	}
+	w.eventually("the client's ops are over", func() bool { return w.counts().Open == 0 })
+	w.quiet()
+}
+
+// TestShutdown stops a gateway with ops held, out and half received: all that were taken are settled, and
+// the answers arrive.
+func TestShutdown(t *testing.T) {
+	w := start(t)
+	a := w.dial("client")
+	half := rawConnect(t, w, "half")
+	half.write(half.command(9, nvme.Write, 1, 0, 16, nil))
+	half.expect(nvme.TypeR2T)
+	w.on(func() { w.disks[1].Freeze(300 * time.Millisecond) })
+	var answers []chan answer
+	for i := range 40 {
+		answers = append(answers, w.submit(a, nvme.NewRW(nvme.Read, 2, uint64(i), 1), nil))
+	}
+	w.eventually("held and out", func() bool { c := w.counts(); return c.Open == 40 && c.Out > 0 && c.Out < 40 })
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	if err := w.g.Shutdown(ctx); err != nil {
+		t.Fatal(err)
+	}
+	acked := 0
+	for i, c := range answers {
+		r := <-c
+		if r.lost || r.status != nvme.Success && r.status.Code() != nvme.CommandInterrupted {
+			t.Errorf("op %d: lost %v, %#x", i, r.lost, r.status)
+		}
+		if r.status == nvme.Success {
+			acked++
+		}
+	}
+	if acked == 0 {
+		t.Error("nothing that was out was acked")
+	}
+}
+
+// TestShutdownCut gives a stop no time: what is left is aborted at once, not dropped.
+func TestShutdownCut(t *testing.T) {
+	w := start(t)
+	a := w.dial("client")
+	w.on(func() { w.disks[1].Apply(disk.Faults{Silent: true}) })
+	answers := []chan answer{w.submit(a, nvme.NewRW(nvme.Read, 2, 1, 1), nil), w.submit(a, nvme.NewRW(nvme.Read, 2, 2, 1), nil)}
+	w.eventually("taken", func() bool { return w.counts().Open == 2 })
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := w.g.Shutdown(ctx); err == nil {
+		t.Error("a stop without time reports none")
+	}
+	for _, c := range answers {
+		if r := <-c; r.lost || r.status != nvme.InternalError|nvme.DoNotRetry {
+			t.Errorf("%#x, lost %v", r.status, r.lost)
+		}
+	}
+}
+
+// TestSameIDs has two clients use the same command ids at the same time; each gets its own data.
+func TestSameIDs(t *testing.T) {
+	w := start(t)
+	one, two := rawConnect(t, w, "one"), rawConnect(t, w, "two")
+	for id := range uint16(20) {
+		one.write(one.command(id, nvme.Read, 1, 10, 1, nil))
+		two.write(two.command(id, nvme.Read, 2, 20, 1, nil))
+	}
+	for c, want := range map[*raw]byte{one: 10, two: 20} {
+		seen := map[uint16]bool{}
+		for len(seen) < 20 {
+			p := c.expect(nvme.TypeC2HData)
+			if p.Data[8] != want || seen[p.CCCID()] {
+				t.Fatalf("id %d: block %d, want %d, seen %v", p.CCCID(), p.Data[8], want, seen[p.CCCID()])
+			}
+			seen[p.CCCID()] = true
+			c.expect(nvme.TypeCapsuleResp)
+		}
+	}
+}
+
+// TestConnections opens more than are allowed: the rest are turned away, and those that stand are served.
+func TestConnections(t *testing.T) {
+	w := start(t)
+	a := w.dial("stands")
+	var open []net.Conn
+	for range 30 {
+		if c, err := net.Dial("tcp", w.g.Address()); err == nil {
+			open = append(open, c)
+		}
+	}
+	w.eventually("no more than allowed", func() bool { return w.counts().Connections <= w.s.Limits.Connections })
+	if _, status := w.op(a, nvme.NewRW(nvme.Read, 2, 1, 1), nil); status != nvme.Success {
+		t.Errorf("a client that stood: %#x", status)
+	}
+	// Half-open handshakes end by themselves.
+	w.eventually("half-open handshakes are over", func() bool { return w.counts().Connections < 10 })
+	for _, c := range open {
+		c.Close()
+	}
+	w.dial("again")
+}
+
+// TestListReturns takes the list away and brings it back with a server replaced: ops held for the old one move.
+func TestListReturns(t *testing.T) {
+	w := start(t)
+	a := w.dial("client")
+	var fresh *disk.Server
+	w.on(func() {
+		w.disks[1].Die()
+		fresh = w.add(1)
+		w.etcd.Delete("/honeyplank/nodes/" + fresh.Address())
+	})
+	w.etcd.Down(true)
+	held := w.submit(a, nvme.NewRW(nvme.Read, 2, 7, 1), nil)
+	w.etcd.Delete("/honeyplank/nodes/" + w.disks[1].Address())
+	w.list(fresh.Address(), 1, "on")
+	w.etcd.Down(false)
+	if r := <-held; r.lost {
+		t.Error("a held op was lost")
+	}
+	w.eventually("served by the replacement", func() bool {
+		data, status := w.op(a, nvme.NewRW(nvme.Read, 2, 9, 1), nil)
+		return status == nvme.Success && data[8] == 9
+	})
+	// An op that waits while its server is replaced moves: nobody holds cell 1 for a moment.
+	w.etcd.Delete("/honeyplank/nodes/" + fresh.Address())
+	w.eventually("nobody holds the cell", func() bool { return (<-w.submit(a, nvme.NewRW(nvme.Read, 2, 9, 1), nil)).status != nvme.Success })
+	moved := w.submit(a, nvme.NewRW(nvme.Read, 2, 11, 1), nil)
+	w.list(fresh.Address(), 1, "on")
+	if r := <-moved; r.status != nvme.Success || r.data[8] != 11 {
+		t.Errorf("the held op did not move: %#x", r.status)
+	}
+}
+
+// TestInstancesShareNothing runs several gateways in one process against the same stand-ins.
+func TestInstancesShareNothing(t *testing.T) {
+	w := start(t)
+	var group sync.WaitGroup
+	for n := range 3 {
+		s := *w.s
+		s.Listen.Host = fmt.Sprint(strings.TrimSuffix(s.Listen.Host, "0"), n+1)
+		g, err := gateway.New(gateway.Options{Settings: &s, Seed: int64(n), Log: zerolog.Nop()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		group.Add(1)
+		go func() { defer group.Done(); g.Serve(context.Background()) }()
+		if c, ok := g.Counts(); !ok || c.Taken != 0 {
+			t.Errorf("a fresh instance has taken %d ops", c.Taken)
+		}
+		if n == 0 {
+			g.Kill()
+		} else if err := g.Shutdown(context.Background()); err != nil {
+			t.Error(err)
+		}
+	}
+	group.Wait()
+	if _, status := w.op(w.dial("client"), nvme.NewRW(nvme.Read, 2, 1, 1), nil); status != nvme.Success {
+		t.Errorf("the first instance after the others' end: %#x", status)
+	}
+}
--- a/gateway/ops.go
+++ b/gateway/ops.go
@@ -101,7 +101,6 @@
 
 func (g *Instance) answer(p *op, status nvme.Status, dw0 uint32, data []byte) {
 	p.command.Complete(status, dw0, 0, data)
-	g.loop.Stats.Copied.Add(int64(len(data)))
 	g.close(p)
 }
 
@@ -218,7 +217,6 @@
 		s.end(honeyplank.Unconnected, nvme.Load{})
 		return
 	}
-	s.g.loop.Stats.Copied.Add(int64(len(data)))
 	s.cid, s.sent = cid, true
 	s.disk.out++
 }
--- a/initiator/association.go
+++ b/initiator/association.go
@@ -36,6 +36,8 @@
 	IO      *Session
 	Admin   *Session
 	Buffers loop.Buffers
+	// Delays are CRDT1 to CRDT3 of the controller, in units of 100 ms.
+	Delays [3]uint16
 
 	terms      Terms
 	loop       *loop.Loop
@@ -63,7 +65,7 @@
 // Dial begins an association; the handler hears of it later, never during the call.
 func Dial(l *loop.Loop, terms Terms, h Handler) *Association {
 	a := &Association{terms: terms, loop: l, handler: h}
-	a.Buffers.Keep = 64 * terms.MaxData
+	a.Buffers.Keep, a.Buffers.Stats = 64*terms.MaxData, &l.Stats
 	a.timer = l.AtTime(l.Now()+terms.Within, func() { a.end(errHandshake) })
 	if err := a.connect(0); err != nil {
 		l.AtTime(0, func() { a.end(err) })
@@ -160,6 +162,9 @@
 			return
 		}
 		capsule := max(nvme.CapsuleBytes(r.Data)-64, 0)
+		if a.Delays = nvme.RetryDelays(r.Data); a.Delays != [3]uint16{} {
+			a.honour()
+		}
 		if err := a.connect(1); err != nil {
 			a.end(err)
 			return
@@ -169,6 +174,17 @@
 	}))
 }
 
+// honour tells the controller that this host honours its retry delays (ACRE). A controller that does not know
+// the feature keeps its delays to itself.
+func (a *Association) honour() {
+	var c nvme.Command
+	c[0] = nvme.AdminSetFeatures
+	c.SetDW(10, nvme.FeatureHostBehavior)
+	behaviour := make([]byte, nvme.HostBehaviorLen)
+	behaviour[0] = 1
+	a.Admin.Submit(c, behaviour, 0, CallFunc(func(Result) {}))
+}
+
 // Inquire sends an Identify.
 func (a *Association) Inquire(cns uint8, nsid uint32, call Call) {
 	var c nvme.Command
--- a/initiator/session.go
+++ b/initiator/session.go
@@ -96,6 +96,7 @@
 		c.SetSGL(nvme.SGLTransport, len(data))
 		v.data = s.buffers.Get(len(data))
 		copy(v.data, data)
+		s.buffers.Copied(len(data))
 		capsule = nil
 	case len(data) > 0:
 		c.SetSGL(nvme.SGLInCapsule, len(data))
@@ -103,6 +104,7 @@
 		c.SetSGL(nvme.SGLTransport, read)
 	}
 	*s.out = s.outF.AppendCommand(*s.out, &c, capsule)
+	s.buffers.Copied(len(capsule))
 	s.flush()
 	return cid, true
 }
@@ -214,6 +216,7 @@
 			v.data = s.buffers.Get(v.read)
 		}
 		copy(v.data[from:], p.Data)
+		s.buffers.Copied(n)
 	}
 	v.got += n
 	v.bad = v.bad || p.BadData
@@ -243,6 +246,7 @@
 		if at+len(piece) == int(from+n) {
 			flags = nvme.FlagLast
 		}
+		s.buffers.Copied(len(piece))
 		*s.out = s.outF.AppendData(*s.out, nvme.TypeH2CData, flags, p.CCCID(), p.TTAG(), at, piece)
 	}
 	s.flush()
--- a/loop/buffers.go
+++ b/loop/buffers.go
@@ -9,8 +9,10 @@
 	Keep int
 	// Held is how many bytes are out now.
 	Held int
-	kept int
-	free [32][][]byte
+	// Stats, where set, counts the bytes that its users copy.
+	Stats *Stats
+	kept  int
+	free  [32][][]byte
 }
 
 // Get returns a slice of n bytes with any content.
@@ -43,3 +45,10 @@
 		p.free[class] = append(p.free[class], b)
 	}
 }
+
+// Copied notes that bytes were copied into or out of a buffer.
+func (p *Buffers) Copied(n int) {
+	if p.Stats != nil {
+		p.Stats.Copied.Add(int64(n))
+	}
+}
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -104,8 +105,19 @@
 // Stop ends Run after the present round. It must be called on the loop.
 func (l *Loop) Stop() { l.ending = true }
 
+// CPU is the processor time that the loop has used. It must be called on the loop.
+func (l *Loop) CPU() time.Duration {
+	var u unix.Rusage
+	if unix.Getrusage(unix.RUSAGE_THREAD, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
 // Run serves until Stop, then closes all that is open, without telling its owners.
 func (l *Loop) Run() error {
+	runtime.LockOSThread() // so that CPU counts the loop alone
+	defer runtime.UnlockOSThread()
 	events := make([]unix.EpollEvent, 256)
 	var err error
 	for !l.ending {
@@ -256,6 +268,8 @@
 	Out []byte
 	// Tap, where set, sees the bytes that cross the socket, in order; sent tells which way. No bytes: the end.
 	Tap func(sent bool, b []byte)
+	// Ended, where set, is called once the socket is closed, by whichever end.
+	Ended func()
 
 	l       *Loop
 	fd      int
@@ -298,7 +312,7 @@
 	}
 }
 
-// Close ends the connection at once, with a reset if data was left unread; Closed is not called.
+// Close ends the connection at once, with a reset if data was left unread; Closed is not called, Ended is.
 func (c *Conn) Close() {
 	if !c.closed {
 		c.closed = true
@@ -306,28 +320,40 @@
 		if c.Tap != nil {
 			c.Tap(false, nil)
 		}
+		if c.Ended != nil {
+			c.Ended()
+		}
 	}
 }
 
-// linger is how long Finish waits for an end that does not read.
+// linger is how long Finish waits for an end that does not read or does not close.
 const linger = time.Second
 
-// Finish closes once what is in Out has been sent, the other end has gone, or a second has passed. What still
-// comes is dropped.
+// Finish ends the connection in order: what is in Out is sent, then no more, and the socket is closed once the
+// other end has closed too, or a second has passed. Closing at once would have the kernel answer what still
+// comes with a reset, which can take from the other end what it has not read yet. What comes is dropped.
 func (c *Conn) Finish() {
 	if c.ending || c.closed {
 		return
 	}
+	if c.dialing {
+		c.Close()
+		return
+	}
 	c.ending, c.left = true, nil
 	c.Resume()
 	c.Send()
 	if c.Unsent() == 0 {
-		c.Close()
-		return
+		c.half()
 	}
 	c.l.AtTime(c.l.Now()+linger, c.Close)
 }
 
+func (c *Conn) half() {
+	c.l.Stats.Others.Add(1)
+	unix.Shutdown(c.fd, unix.SHUT_WR)
+}
+
 func (c *Conn) fail(err error) {
 	if c.closed {
 		return
@@ -447,7 +473,7 @@
 			c.Out = nil
 		}
 		if c.ending {
-			c.Close()
+			c.half()
 		}
 	case c.sent > readSize:
 		c.Out = append(c.Out[:0], c.Out[c.sent:]...)
--- a/nvme/identify.go
+++ b/nvme/identify.go
@@ -64,6 +64,10 @@
 	return v
 }
 
+// HostBehaviorLen is the size of the Host Behavior Support data (Base 5.27.1.18); its byte 0 is ACRE: the host
+// honours the retry delays CRDT1 to CRDT3.
+const HostBehaviorLen = 512
+
 // Version is VS for revision 2.0 (Base 3.1.3.2).
 const Version = 0x00020000
 
--- /dev/null
+++ b/rehearse/sabotage_test.go
@@ -0,0 +1,203 @@
+package rehearse
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"honeyplank"
+	"honeyplank/gateway"
+	"honeyplank/policy"
+	"honeyplank/settings"
+)
+
+// short is the bad day's fleet and traffic for some seconds, with some troubles.
+func short(t *testing.T, length time.Duration, troubles ...settings.Trouble) *settings.Gateway {
+	t.Helper()
+	s, err := settings.Parse("built-in script", BadDay)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Rehearsal.Length, s.Rehearsal.Troubles = settings.Span(length), troubles
+	return s
+}
+
+func at(kind string, at, span time.Duration, count int, times float64) settings.Trouble {
+	return settings.Trouble{Kind: kind, At: settings.Span(at), For: settings.Span(span), Count: count, Times: times}
+}
+
+type change func(now time.Duration, event honeyplank.Event, out []honeyplank.Action) []honeyplank.Action
+
+// tamper is the module with its actions changed on their way to the loop.
+type tamper struct {
+	gateway.Module
+	change change
+}
+
+func (x *tamper) Handle(now time.Duration, e honeyplank.Event) []honeyplank.Action {
+	return x.change(now, e, x.Module.Handle(now, e))
+}
+
+// ops is what a saboteur knows of the ops under way.
+type ops map[honeyplank.OpID]honeyplank.Op
+
+// sabotages break one rule each. The loop does what it is told; the audit must see it from the sockets.
+var sabotages = []struct {
+	name     string
+	rule     int
+	troubles []settings.Trouble
+	make     func() change
+}{
+	{name: "an answer is dropped", rule: 1, troubles: []settings.Trouble{at("die", time.Second, time.Second, 2, 0)},
+		make: func() change {
+			return func(_ time.Duration, _ honeyplank.Event, out []honeyplank.Action) []honeyplank.Action {
+				return slices.DeleteFunc(out, func(a honeyplank.Action) bool { _, ok := a.(honeyplank.Throttle); return ok })
+			}
+		}},
+	{name: "an answer comes late", rule: 1, troubles: []settings.Trouble{at("silent", time.Second, 3*time.Second, 3, 0)},
+		make: func() change {
+			var kept []honeyplank.Action
+			return func(now time.Duration, e honeyplank.Event, out []honeyplank.Action) []honeyplank.Action {
+				if t, ok := e.(honeyplank.Timer); ok && t.Name == "late" {
+					out, kept = append(kept, out...), nil
+					return out
+				}
+				n := len(kept)
+				out = slices.DeleteFunc(out, func(a honeyplank.Action) bool {
+					_, ok := a.(honeyplank.Throttle)
+					if ok {
+						kept = append(kept, a)
+					}
+					return ok
+				})
+				if len(kept) > n {
+					out = append(out, honeyplank.SetTimer{At: now + 2*time.Second, Name: "late"})
+				}
+				return out
+			}
+		}},
+	{name: "a once-only op is dispatched twice", rule: 2,
+		make: func() change {
+			return func(_ time.Duration, _ honeyplank.Event, out []honeyplank.Action) []honeyplank.Action {
+				for _, a := range out {
+					if d, ok := a.(honeyplank.Dispatch); ok {
+						out = append(out, d)
+					}
+				}
+				return out
+			}
+		}},
+	{name: "a drained server is sent to", rule: 3, troubles: []settings.Trouble{at("drain", 500*time.Millisecond, 3*time.Second, 2, 0)},
+		make: func() change {
+			first, known := map[int]honeyplank.OSDID{}, ops{}
+			return func(_ time.Duration, e honeyplank.Event, out []honeyplank.Action) []honeyplank.Action {
+				switch e := e.(type) {
+				case honeyplank.List:
+					for _, m := range e.Members {
+						if _, ok := first[m.Cell]; !ok {
+							first[m.Cell] = m.OSD
+						}
+					}
+				case honeyplank.Op:
+					known[e.ID] = e
+					out = slices.DeleteFunc(out, func(a honeyplank.Action) bool { _, ok := a.(honeyplank.Dispatch); return ok })
+					return append(out, honeyplank.Dispatch{Op: e.ID, OSD: first[e.Cell]})
+				}
+				return out
+			}
+		}},
+	{name: "a cold server is flooded", rule: 4, troubles: []settings.Trouble{at("die", 500*time.Millisecond, 700*time.Millisecond, 2, 0), at("surge", 1500*time.Millisecond, 2*time.Second, 11, 6)}},
+	{name: "the order of a key is swapped", rule: 5, troubles: []settings.Trouble{at("slow", 200*time.Millisecond, 3*time.Second, 6, 4)}},
+	{name: "the budget is exceeded", rule: 6, troubles: []settings.Trouble{at("fail", 500*time.Millisecond, 3*time.Second, 6, 0.9)},
+		make: func() change {
+			known := ops{}
+			return func(now time.Duration, e honeyplank.Event, out []honeyplank.Action) []honeyplank.Action {
+				if o, ok := e.(honeyplank.Op); ok {
+					known[o.ID] = o
+				}
+				if o, ok := e.(honeyplank.Outcome); ok && !o.Done && o.Code == honeyplank.Errored && o.Dispatch < 6 && known[o.Op].Type < 2 {
+					out = slices.DeleteFunc(out, func(a honeyplank.Action) bool { _, ok := a.(honeyplank.Throttle); return ok })
+					return append(out, honeyplank.Dispatch{Op: o.Op, OSD: o.OSD})
+				}
+				return out
+			}
+		}},
+	{name: "a limit is exceeded", rule: 7, troubles: []settings.Trouble{at("surge", 200*time.Millisecond, 4*time.Second, 11, 8)}},
+}
+
+// TestSabotage has a gateway break each rule in its loop; the audit must tell which, from the sockets alone.
+func TestSabotage(t *testing.T) {
+	for _, x := range sabotages {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			o := Options{Script: short(t, 4*time.Second, x.troubles...), Seed: 3}
+			o.Module = func(seed int64, v map[string]any) gateway.Module {
+				if x.make == nil { // the baseline keeps none of these
+					return Arrival(seed, v)
+				}
+				return &tamper{policy.New(seed, v), x.make()}
+			}
+			r, err := Run(context.Background(), o)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if v := r.Rules[x.rule-1]; v.Kept || v.Evidence == "" {
+				t.Errorf("rule %d counts as kept\n%v", x.rule, r)
+			}
+		})
+	}
+}
+
+// TestKept plays some troubles with the module as it is: every rule is kept, and every rule was looked at.
+func TestKept(t *testing.T) {
+	for seed := range int64(3) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			r, err := Run(context.Background(), Options{Seed: seed, Script: short(t, 7*time.Second,
+				at("die", 500*time.Millisecond, 1200*time.Millisecond, 2, 0), at("surge", time.Second, 2*time.Second, 3, 6),
+				at("lose-answers", 2*time.Second, time.Second, 2, 0.3), at("drain", 3*time.Second, time.Second, 1, 0),
+				at("cut", 4*time.Second, time.Second, 2, 0), at("gateway-restart", 5*time.Second, 500*time.Millisecond, 1, 0))})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !r.Kept || r.Fell > 0 {
+				t.Errorf("%v", r)
+			}
+			for _, v := range r.Rules {
+				if v.Checked == 0 {
+					t.Errorf("rule %d was not looked at", v.Rule)
+				}
+			}
+			for _, x := range r.Types {
+				if x.Wrong > 0 || x.Acked == 0 {
+					t.Errorf("%s: %d acked, %d with other bytes than were written", x.Name, x.Acked, x.Wrong)
+				}
+			}
+		})
+	}
+}
+
+// TestTroubles makes a script of every kind of trouble that a script can name.
+func TestTroubles(t *testing.T) {
+	script := short(t, time.Second)
+	scripts, names, err := Troubles(script, "all")
+	if err != nil {
+		t.Fatal(err)
+	}
+	used := map[string]bool{}
+	for _, n := range names {
+		for _, x := range scripts[n].Rehearsal.Troubles {
+			used[x.Kind] = true
+		}
+	}
+	for kind := range troubles {
+		if !used[kind] {
+			t.Errorf("no --trouble plays %s", kind)
+		}
+	}
+	if _, _, err := Troubles(script, "no such thing"); err == nil {
+		t.Error("an unknown trouble is taken")
+	}
+}
--- a/target/admin.go
+++ b/target/admin.go
@@ -11,7 +11,7 @@
 const asyncLimit nvme.Status = 0x105 // Asynchronous Event Request Limit Exceeded
 
 // admin answers a command of the admin queue. docs/protocol.md lists what is accepted.
-func (s *Session) admin(c *nvme.Command) {
+func (s *Session) admin(c *nvme.Command, in []byte) {
 	status, dw0, dw1 := nvme.Success, uint32(0), uint32(0)
 	var data []byte
 	switch c.Opcode() {
@@ -23,7 +23,7 @@
 	case nvme.AdminGetLogPage:
 		status, data = s.logPage(c)
 	case nvme.AdminSetFeatures, nvme.AdminGetFeatures:
-		status, dw0 = s.feature(c)
+		status, dw0, data = s.feature(c, in)
 	case nvme.AdminAsyncEvent:
 		if s.events < 4 { // AERL; held for ever, since no event is ever told
 			s.events++
@@ -139,20 +139,33 @@
 	return nvme.Success, data
 }
 
-func (s *Session) feature(c *nvme.Command) (nvme.Status, uint32) {
+func (s *Session) feature(c *nvme.Command, in []byte) (nvme.Status, uint32, []byte) {
 	set := c.Opcode() == nvme.AdminSetFeatures
 	queues := uint32(s.offer.Queues-1) | uint32(s.offer.Queues-1)<<16
 	switch uint8(c.DW(10)) {
 	case nvme.FeatureQueues:
-		return nvme.Success, queues
+		return nvme.Success, queues, nil
 	case nvme.FeatureKeepAlive:
 		if set {
 			s.control.keepAlive = time.Duration(c.DW(11)) * time.Millisecond
-			return nvme.Success, 0
+			return nvme.Success, 0, nil
 		}
-		return nvme.Success, uint32(s.control.keepAlive / time.Millisecond)
+		return nvme.Success, uint32(s.control.keepAlive / time.Millisecond), nil
 	case nvme.FeatureAsyncEvents:
-		return nvme.Success, 0
+		return nvme.Success, 0, nil
+	case nvme.FeatureHostBehavior:
+		if !set {
+			data := make([]byte, nvme.HostBehaviorLen)
+			if s.control.delays {
+				data[0] = 1
+			}
+			return nvme.Success, 0, data
+		}
+		if len(in) != nvme.HostBehaviorLen || in[0] > 1 {
+			return nvme.InvalidField | nvme.DoNotRetry, 0, nil
+		}
+		s.control.delays = in[0] == 1
+		return nvme.Success, 0, nil
 	}
-	return nvme.InvalidField | nvme.DoNotRetry, 0
+	return nvme.InvalidField | nvme.DoNotRetry, 0, nil
 }
--- a/target/server.go
+++ b/target/server.go
@@ -41,7 +41,7 @@
 // Listen starts a server at an address.
 func Listen(l *loop.Loop, address string, offer Offer, handler Handler) (*Server, error) {
 	s := &Server{offer: offer, handler: handler, loop: l, conns: map[*conn]bool{}}
-	s.Buffers.Keep = offer.Held
+	s.Buffers.Keep, s.Buffers.Stats = offer.Held, &l.Stats
 	s.subs.byID = map[uint16]*controller{}
 	var err error
 	if s.listener, err = l.Listen(address, s.accept); err != nil {
@@ -63,12 +63,31 @@
 	s.subs.grant(&s.offer, &s.Buffers)
 }
 
-// Close stops listening and ends all connections, after what was answered has been sent. Open commands lapse.
-func (s *Server) Close() {
+// Close stops listening and ends all connections in order; then is called once they are closed. I/O queues end
+// first, so that a host has read their last answers before its association ends. Open commands lapse.
+func (s *Server) Close(then func()) {
 	s.listener.Close()
+	s.finish(func(c *conn) bool { return c.session.qid != 0 }, func() {
+		s.finish(func(*conn) bool { return true }, then)
+	})
+}
+
+// finish ends some connections in order and calls then once they are closed.
+func (s *Server) finish(which func(*conn) bool, then func()) {
+	left := 1
+	closed := func() {
+		if left--; left == 0 {
+			then()
+		}
+	}
 	for c := range s.conns {
-		c.stop(true)
+		if which(c) {
+			left++
+			c.Ended = closed
+			c.stop(true)
+		}
 	}
+	closed()
 }
 
 // Cut ends all connections at once and, with listen, stops listening: what the death of a process does.
--- a/target/session.go
+++ b/target/session.go
@@ -133,6 +133,7 @@
 	discovery bool
 	keepAlive time.Duration
 	config    uint32 // CC
+	delays    bool   // the host honours retry delays (ACRE of Host Behavior Support, Base 5.27.1.18)
 	queues    map[uint16]*Session
 }
 
@@ -241,7 +242,7 @@
 		return sequence(p, "more commands than the queue has entries")
 	}
 	if s.qid == 0 {
-		s.admin(&c)
+		s.admin(&c, p.Data)
 		return nil
 	}
 	s.io(now, &c, p.Data)
@@ -253,6 +254,10 @@
 	if s.phase == phaseEnded {
 		return
 	}
+	if s.control == nil || !s.control.delays {
+		status = status.WithDelay(0)
+	}
+	s.buffers.Copied(len(data))
 	short := s.noFlow && dw0 == 0 && dw1 == 0 && status == nvme.Success && len(data) > 0
 	for at := 0; at < len(data); at += s.offer.Piece {
 		piece := data[at:min(at+s.offer.Piece, len(data))]
@@ -380,6 +385,7 @@
 	if len(data) > 0 {
 		c.Data = s.buffers.Get(size)
 		copy(c.Data, data)
+		s.buffers.Copied(size)
 	}
 	c.state = taken
 	s.handler.Take(c)
@@ -417,6 +423,7 @@
 		return &nvme.FatalError{Status: nvme.FatalDataRange, Info: 12, Text: "H2CData outside what was asked for", Header: append([]byte(nil), p.Header...)}
 	}
 	copy(c.Data[from:], p.Data)
+	s.buffers.Copied(n)
 	c.got += n
 	last := c.got == c.Bytes
 	if last != (p.Flags&nvme.FlagLast != 0) {
