--- /dev/null
+++ b/cmd/honeyplank/main_test.go
@@ -0,0 +1,246 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"honeyplank/gateway"
+	"honeyplank/initiator"
+	"honeyplank/loop"
+	"honeyplank/members"
+	"honeyplank/nvme"
+	"honeyplank/rehearse"
+	"honeyplank/settings"
+	"honeyplank/standin/disk"
+	"honeyplank/standin/etcd"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "honeyplank")
+	if err == nil {
+		binary = filepath.Join(dir, "honeyplank")
+		var out []byte
+		if out, err = exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+			err = fmt.Errorf("%w: %s", err, out)
+		}
+	}
+	code := 1
+	if err == nil {
+		code = m.Run()
+	} else {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// run runs the program to its end.
+func run(t *testing.T, arguments ...string) (out string, code int) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	c := exec.CommandContext(ctx, binary, arguments...)
+	b, err := c.CombinedOutput()
+	if err != nil && c.ProcessState == nil {
+		t.Fatal(err)
+	}
+	return string(b), c.ProcessState.ExitCode()
+}
+
+// TestExit checks what a bad setting or flag ends with: file, line, what is wrong, what would be right, exit 2.
+func TestExit(t *testing.T) {
+	good := "../../settings/examples/gateway.xml"
+	text, err := os.ReadFile(good)
+	if err != nil {
+		t.Fatal(err)
+	}
+	bad := filepath.Join(t.TempDir(), "bad.xml")
+	os.WriteFile(bad, []byte(strings.Replace(string(text), `ask-within="4s"`, `ask-within="soon"`, 1)), 0o600)
+	for _, c := range []struct {
+		arguments string
+		code      int
+		says      string
+	}{
+		{"settings check " + good, 0, "right"},
+		{"settings check " + bad, 2, bad + `:3: ask-within="soon"`},
+		{"serve " + bad, 2, "a span is a number with its unit"},
+		{"serve no-such-file.xml", 2, "no such file"},
+		{"rehearse --script " + good, 2, "has no <rehearsal>"},
+		{"rehearse --trouble none", 2, "no trouble is called"},
+		{"rehearse --no-such-flag", 2, "unknown flag"},
+		{"settings schema", 0, "xs:schema"},
+		{"version", 0, "honeyplank"},
+	} {
+		if out, code := run(t, strings.Fields(c.arguments)...); code != c.code || !strings.Contains(out, c.says) {
+			t.Errorf("%s: exit %d, want %d with %q\n%s", c.arguments, code, c.code, c.says, out)
+		}
+	}
+}
+
+type connected chan error
+
+func (c connected) Ready(*initiator.Association) { c <- nil }
+func (c connected) Ended(_ *initiator.Association, e error) {
+	select {
+	case c <- e:
+	default:
+	}
+}
+
+// TestSameAnswers plays one script of ops through two gateways in this process and through two daemons, each
+// against stand-ins of the same kind: one server sound, one failing every op, one not listed, one turning
+// ops away. The answers are the same, op by op.
+func TestSameAnswers(t *testing.T) {
+	script, err := settings.Parse("built-in script", rehearse.BadDay)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := loop.New(time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	registry, err := etcd.New("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer registry.Close()
+	model := rehearse.Model(script)
+	model.Spread, model.Pause, model.PauseEvery, model.PutOffEvery, model.UnitTime = 0, 0, 0, 0, settings.Span(time.Millisecond)
+	for cell, faults := range map[int]disk.Faults{0: {}, 1: {Fail: 1}, 4: {Draining: true}} {
+		d, err := disk.New(l, "127.0.0.1:0", model, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.Apply(faults)
+		value, _ := json.Marshal(members.Record{State: "on", Size: 1, Cell: cell})
+		registry.Set(script.List.Prefix+d.Address(), value)
+	}
+	ended := make(chan struct{})
+	go func() { l.Run(); close(ended) }()
+	defer func() { l.Post(l.Stop); <-ended }()
+
+	own := *script
+	own.Rehearsal = nil
+	own.List.Etcd[0].Endpoint = registry.Address()
+	var addresses []string
+	for n := range 2 {
+		s := own
+		s.Scheduler.Ordinal = n
+		g, err := gateway.New(gateway.Options{Settings: &s, Seed: int64(n + 1), Log: zerolog.Nop()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		go g.Serve(context.Background())
+		defer g.Kill()
+		addresses = append(addresses, g.Address())
+	}
+	for n := range 2 {
+		s := own
+		s.Scheduler.Ordinal = n
+		addresses = append(addresses, daemon(t, &s, n+1))
+	}
+	time.Sleep(500 * time.Millisecond) // each has the list
+	answers := make([]string, len(addresses))
+	for i, a := range addresses {
+		answers[i] = play(t, l, own.Listen.Subsystem, a)
+	}
+	for i := range answers {
+		if answers[i] != answers[0] {
+			t.Errorf("gateway %d answers\n%s\nthe first\n%s", i, answers[i], answers[0])
+		}
+	}
+	for _, want := range []string{" 0x0 ", " 0x821 ", " 0x4006 "} { // acked, throttled with advice, aborted
+		if !strings.Contains(answers[0], want) {
+			t.Errorf("no answer with status%sin\n%s", want, answers[0])
+		}
+	}
+}
+
+// daemon starts serve and returns where it listens.
+func daemon(t *testing.T, s *settings.Gateway, seed int) string {
+	t.Helper()
+	text, err := s.XML()
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "gateway.xml")
+	os.WriteFile(file, text, 0o600)
+	c := exec.Command(binary, "serve", "--seed", fmt.Sprint(seed), file)
+	pipe, err := c.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	lines := bufio.NewScanner(pipe)
+	t.Cleanup(func() {
+		c.Process.Signal(syscall.SIGTERM)
+		for lines.Scan() {
+		}
+		if err := c.Wait(); err != nil {
+			t.Errorf("the daemon ended with %v", err)
+		}
+	})
+	for lines.Scan() {
+		var line struct{ Address string }
+		if json.Unmarshal(lines.Bytes(), &line) == nil && line.Address != "" {
+			if _, err := net.ResolveTCPAddr("tcp", line.Address); err == nil {
+				return line.Address
+			}
+		}
+	}
+	t.Fatal("the daemon did not say where it serves")
+	return ""
+}
+
+// play sends ops one after another and writes down their answers.
+func play(t *testing.T, l *loop.Loop, subsystem, address string) string {
+	t.Helper()
+	ready := make(connected, 2)
+	var a *initiator.Association
+	l.Post(func() {
+		a = initiator.Dial(l, initiator.Terms{Address: address, Subsystem: subsystem, Host: "nqn.2026-12.org.honeyplank:script", Depth: 8, MaxData: 128 << 10, Within: 2 * time.Second}, ready)
+	})
+	if err := <-ready; err != nil {
+		t.Fatal(err)
+	}
+	var b strings.Builder
+	for i := range 24 {
+		// Extents of 65536 blocks: volume 5 lies on cells 0, 2, 4 in turn, volume 9 on 0 to 5.
+		nsid, extent, blocks, opcode := uint32(9), uint64(i%6), 4, uint8(nvme.Read)
+		if i%4 == 3 {
+			opcode, blocks = nvme.Write, 6 // once-only
+		}
+		c := nvme.NewRW(opcode, nsid, extent*65536+uint64(i)*8, blocks)
+		var data []byte
+		read := blocks * 4096
+		if opcode == nvme.Write {
+			data, read = make([]byte, blocks*4096), 0
+		}
+		done := make(chan string, 1)
+		l.Post(func() {
+			a.IO.Submit(c, data, read, initiator.CallFunc(func(r initiator.Result) {
+				done <- fmt.Sprintf("%d cell %d: %#x %x", i, extent, r.Status(), sha256.Sum256(r.Data))
+			}))
+		})
+		fmt.Fprintln(&b, <-done)
+	}
+	l.Post(a.Close)
+	return b.String()
+}
--- a/settings/schema.go
+++ b/settings/schema.go
@@ -130,12 +130,14 @@
 	var open []*node
 	var root *node
 	count := 0
-	line := func() int { n, _ := d.InputPos(); return n }
+	start := 1 // line where the token begins
+	line := func() int { return start }
 	fault := func(wrong, right string) error { return &Fault{file, line(), wrong, right} }
 	if len(text) > sizeMost {
 		return nil, fault("the file is too large", fmt.Sprintf("at most %d bytes", sizeMost))
 	}
 	for {
+		start, _ = d.InputPos()
 		t, err := d.Token()
 		if err == io.EOF && root != nil && len(open) == 0 {
 			return root, nil
@@ -178,6 +180,7 @@
 			open = open[:len(open)-1]
 		case xml.CharData:
 			if len(bytes.TrimSpace(t)) > 0 {
+				start += bytes.Count(t[:len(t)-len(bytes.TrimLeft(t, " \t\r\n"))], []byte("\n"))
 				return nil, fault(fmt.Sprintf("text %.20q has no place here", bytes.TrimSpace(t)), "values are given as attributes")
 			}
 		case xml.Directive:
