--- a/audit/judge.go
+++ b/audit/judge.go
@@ -275,6 +275,10 @@
 				if o := e.over(); (o == 0 || o > d.at) && !l.excused(e, d.at) {
 					v.breach("%v was dispatched while %v of the same key was out", d.op, e.op)
 				}
+				// A key rests after a dispatch that may be running still.
+				if ended := e.given(); ended > 0 && d.at < ended+s.Rules.OrderSettle.D()-slack && d.at > ended {
+					v.breach("%v was dispatched %v after a dispatch of the same key ended without an answer", d.op, d.at-ended)
+				}
 				// An op that its client sent clearly earlier, and that was not over, must not come after.
 				if e.op.sent > d.op.sent+slack && e.at < d.at && len(e.op.sends) > 0 && e.op.sends[0] == e && d.op.sends[0] == d {
 					v.breach("%v was dispatched before %v of the same key, which was sent %v earlier", e.op, d.op, e.op.sent-d.op.sent)
@@ -284,6 +288,18 @@
 	}
 }
 
+// given is when a dispatch without an answer ended for its gateway: with its connection, or with its op; 0: it
+// had an answer, or has not ended.
+func (d *sendRecord) given() time.Duration {
+	if at, _, ok := d.op.final(); d.answer.at == 0 && ok && (d.closed == 0 || at < d.closed) {
+		return at
+	}
+	if d.answer.at == 0 {
+		return d.closed
+	}
+	return 0
+}
+
 // excused tells whether a dispatch without an outcome had to end before a time: at its op timeout, or with
 // the gateway.
 func (l *Log) excused(d *sendRecord, by time.Duration) bool {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -277,15 +277,14 @@
 		return
 	}
 	g.telling = true
-	for len(g.queue) > 0 {
-		next := g.queue[0]
-		g.queue = g.queue[1:]
+	for i := 0; i < len(g.queue); i++ { // it may grow meanwhile
 		g.counts.Events++
-		for _, a := range g.module.Handle(g.loop.Now(), next) {
+		for _, a := range g.module.Handle(g.loop.Now(), g.queue[i]) {
 			g.act(a)
 		}
+		g.queue[i] = nil
 	}
-	g.queue, g.telling = nil, false
+	g.queue, g.telling = g.queue[:0], false
 	g.check()
 }
 
@@ -296,10 +295,12 @@
 	case honeyplank.Throttle:
 		if p := g.owed(a.Op); p != nil {
 			g.counts.Throttled++
+			g.log.Debug().Uint32("volume", p.command.NSID()).Dur("advice_ms", a.RetryAfter).Int("dispatches", len(p.sends)).Msg("throttled")
 			g.answer(p, nvme.CommandInterrupted.WithDelay(g.delay(a.RetryAfter)), uint32(a.RetryAfter/time.Millisecond), nil)
 		}
 	case honeyplank.Abort:
 		if p := g.owed(a.Op); p != nil {
+			g.log.Debug().Uint32("volume", p.command.NSID()).Int("dispatches", len(p.sends)).Msg("aborted")
 			g.counts.Aborted++
 			g.answer(p, nvme.InternalError|nvme.DoNotRetry, 0, nil)
 		}
@@ -358,6 +359,9 @@
 		case node.State == "draining":
 			m.State = honeyplank.Draining
 		}
+		if m.State != honeyplank.On {
+			g.log.Info().Str("osd", node.Address).Bool("gone", node.Gone).Int64("revision", n.Revision).Msg("the list takes a disk server out")
+		}
 		list.Members = append(list.Members, m)
 	}
 	g.tell(list)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"sync"
@@ -537,3 +538,56 @@
 		t.Errorf("the first instance after the others' end: %#x", status)
 	}
 }
+
+// TestDrip puts a line between gateway and disk server that brings the server's answers byte by byte.
+func TestDrip(t *testing.T) {
+	w := start(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	behind := w.disks[1].Address()
+	go func() {
+		for {
+			from, err := l.Accept()
+			if err != nil {
+				return
+			}
+			to, err := net.Dial("tcp", behind)
+			if err != nil {
+				return
+			}
+			go func() { io.Copy(to, from); to.Close() }()
+			go func() {
+				defer from.Close()
+				b := make([]byte, 1<<16)
+				for {
+					n, err := to.Read(b)
+					for i := range n {
+						if _, err := from.Write(b[i : i+1]); err != nil {
+							return
+						}
+					}
+					if err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	w.list(l.Addr().String(), 1, "on")
+	w.etcd.Delete("/honeyplank/nodes/" + behind)
+	a := w.dial("client")
+	w.eventually("served through the line", func() bool {
+		data, status := w.op(a, nvme.NewRW(nvme.Read, 2, 300, 1), nil)
+		return status == nvme.Success && data[8] == 300&0xFF && data[9] == 300>>8
+	})
+	data := pattern(9, 2)
+	if _, status := w.op(a, nvme.NewRW(nvme.Write, 2, 500, 2), data); status != nvme.Success {
+		t.Fatalf("write: %#x", status)
+	}
+	if got, status := w.op(a, nvme.NewRW(nvme.Read, 2, 500, 2), nil); status != nvme.Success || string(got) != string(data) {
+		t.Fatalf("read: %#x", status)
+	}
+}
--- a/gateway/ops.go
+++ b/gateway/ops.go
@@ -18,6 +18,8 @@
 	command *target.Command
 	timeout time.Duration // clock time by which it must have its answer
 	sends   []*dispatch
+	first   dispatch // the first of sends, which most ops need no more than
+	room    [1]*dispatch
 	live    int  // dispatches without an outcome
 	over    bool // answered, or its client has gone
 }
@@ -29,7 +31,7 @@
 	n     int
 	disk  *disk
 	at    time.Duration
-	timer *loop.Timer
+	timer loop.Timer
 	cid   uint16
 	sent  bool
 	done  bool
@@ -136,7 +138,13 @@
 		return
 	}
 	d := g.disk(a.OSD)
-	s := &dispatch{g: g, op: p, n: len(p.sends), disk: d, at: g.loop.Now()}
+	s := &p.first
+	if len(p.sends) > 0 {
+		s = &dispatch{}
+	} else {
+		p.sends = p.room[:0]
+	}
+	*s = dispatch{g: g, op: p, n: len(p.sends), disk: d, at: g.loop.Now()}
 	p.sends = append(p.sends, s)
 	p.live++
 	g.counts.Dispatches++
@@ -148,8 +156,12 @@
 	if a.After > 0 {
 		until = min(until, s.at+a.After)
 	}
-	s.timer = g.loop.AtTime(until, s.expire)
-	d.when(s.send)
+	g.loop.Arm(&s.timer, until, s)
+	if d.link != nil && d.link.IsReady() {
+		s.send(true)
+	} else {
+		d.when(s.send)
+	}
 }
 
 // when calls f once the association stands, or has failed.
@@ -221,8 +233,8 @@
 	s.disk.out++
 }
 
-// expire ends a dispatch that has had no answer in time.
-func (s *dispatch) expire() {
+// Due ends a dispatch that has had no answer in time.
+func (s *dispatch) Due() {
 	if s.sent {
 		s.stop(honeyplank.TimedOut)
 	} else {
@@ -272,7 +284,7 @@
 // end tells the module how the dispatch ended, once.
 func (s *dispatch) end(code honeyplank.Code, load nvme.Load) {
 	s.done = true
-	s.g.loop.Cancel(s.timer)
+	s.g.loop.Cancel(&s.timer)
 	s.op.live--
 	s.g.forget(s.op)
 	e := honeyplank.Outcome{Op: s.op.id, Dispatch: s.n, OSD: s.disk.id, Code: code, Elapsed: s.g.loop.Now() - s.at, Done: s.op.over}
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -149,14 +149,12 @@
 
 // flush writes what the round has produced, once for each connection.
 func (l *Loop) flush() {
-	for len(l.dirty) > 0 {
-		dirty := l.dirty
-		l.dirty = nil
-		for _, c := range dirty {
-			c.queued = false
-			c.write()
-		}
+	for i := 0; i < len(l.dirty); i++ { // it may grow meanwhile
+		l.dirty[i].queued = false
+		l.dirty[i].write()
+		l.dirty[i] = nil
 	}
+	l.dirty = l.dirty[:0]
 }
 
 type wakeFile struct{ l *Loop }
@@ -193,14 +191,25 @@
 
 // ---- Timers ----
 
-// Timer is a call due at a time of the loop's clock.
+// Timer is a call due at a time of the loop's clock. The zero value may be armed.
 type Timer struct {
 	at    time.Duration
 	run   func()
-	index int // in the heap; -1: done
+	due   Due
+	index int // in the heap, from 1; 0: not armed
+}
+
+// Due is what a Timer inside a record of its owner's calls, so that arming it allocates nothing.
+type Due interface{ Due() }
+
+// Arm has d.Due called at a time of the loop's clock; an armed timer is armed anew.
+func (l *Loop) Arm(t *Timer, at time.Duration, d Due) {
+	l.Cancel(t)
+	t.at, t.due = at, d
+	heap.Push(&l.timers, t)
 }
 
-// At has run called at a time of the loop's clock, or in the next round if that has passed.
+// AtTime has run called at a time of the loop's clock, or in the next round if that has passed.
 func (l *Loop) AtTime(at time.Duration, run func()) *Timer {
 	t := &Timer{at: at, run: run}
 	heap.Push(&l.timers, t)
@@ -209,8 +218,8 @@
 
 // Cancel takes a timer back; one that is nil or has run is left alone.
 func (l *Loop) Cancel(t *Timer) {
-	if t != nil && t.index >= 0 {
-		heap.Remove(&l.timers, t.index)
+	if t != nil && t.index > 0 {
+		heap.Remove(&l.timers, t.index-1)
 	}
 }
 
@@ -220,18 +229,18 @@
 func (h timers) Less(i, j int) bool { return h[i].at < h[j].at }
 func (h timers) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
+	h[i].index, h[j].index = i+1, j+1
 }
 func (h *timers) Push(x any) {
 	t := x.(*Timer)
-	t.index = len(*h)
 	*h = append(*h, t)
+	t.index = len(*h)
 }
 func (h *timers) Pop() any {
 	last := len(*h) - 1
 	t := (*h)[last]
 	(*h)[last], *h = nil, (*h)[:last]
-	t.index = -1
+	t.index = 0
 	return t
 }
 
@@ -245,7 +254,12 @@
 
 func (h *timers) fire(now func() time.Duration) {
 	for at := now(); len(*h) > 0 && (*h)[0].at <= at; {
-		heap.Pop(h).(*Timer).run()
+		t := heap.Pop(h).(*Timer)
+		if t.due != nil {
+			t.due.Due()
+		} else {
+			t.run()
+		}
 	}
 }
 
--- /dev/null
+++ b/members/etcd_test.go
@@ -0,0 +1,110 @@
+package members
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"honeyplank"
+	"honeyplank/standin/etcd"
+)
+
+const prefix = "/honeyplank/nodes/"
+
+// watch starts a source on a stand-in; what it tells comes on the channel.
+func watch(t *testing.T) (*etcd.Server, *Etcd, chan News) {
+	t.Helper()
+	s, err := etcd.New("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := make(chan News, 100)
+	e := New([]string{s.Address()}, prefix, "test", func(n News) { out <- n })
+	t.Cleanup(func() { e.Close(); s.Close() })
+	return s, e, out
+}
+
+func next(t *testing.T, c chan News, kind honeyplank.ListKind) News {
+	t.Helper()
+	select {
+	case n := <-c:
+		if n.Kind != kind {
+			t.Fatalf("news of kind %d, want %d: %+v", n.Kind, kind, n)
+		}
+		return n
+	case <-time.After(5 * time.Second):
+		t.Fatalf("no news of kind %d", kind)
+	}
+	return News{}
+}
+
+// TestFollow reads a list of more than one page, follows its changes, and tells of a break.
+func TestFollow(t *testing.T) {
+	s, e, news := watch(t)
+	for i := range 2500 {
+		s.Set(fmt.Sprintf("%s127.0.0.1:%d", prefix, 1000+i), []byte(`{"state":"on","cell":3,"started_ms":5}`))
+	}
+	s.Set("/honeyplank/other", []byte("not of the list"))
+	e.Watch(true)
+	if n := next(t, news, honeyplank.Whole); len(n.Nodes) != 2500 || n.Nodes[0].Cell != 3 || n.Nodes[0].StartedMS != 5 {
+		t.Fatalf("%d nodes", len(n.Nodes))
+	}
+	a := "127.0.0.1:1000"
+	s.Set(prefix+a, []byte(`{"state":"draining","cell":3}`))
+	if n := next(t, news, honeyplank.Changes).Nodes; len(n) != 1 || n[0].Address != a || n[0].State != "draining" {
+		t.Errorf("%+v", n)
+	}
+	s.Delete(prefix + a)
+	if n := next(t, news, honeyplank.Changes).Nodes; len(n) != 1 || !n[0].Gone || n[0].Cell != 3 {
+		t.Errorf("%+v", n)
+	}
+	s.Break()
+	if n := next(t, news, honeyplank.Refused); n.Err == nil || len(n.Nodes) > 0 {
+		t.Errorf("%+v", n)
+	}
+	s.Set(prefix+a, []byte(`{"state":"on","cell":9}`)) // missed: nobody watches
+	e.Watch(true)
+	if n := next(t, news, honeyplank.Whole); len(n.Nodes) != 2500 || n.Nodes[0].Cell != 9 {
+		t.Errorf("%d nodes after the break", len(n.Nodes))
+	}
+	e.Fetch()
+	next(t, news, honeyplank.Whole)
+	e.Watch(false)
+	s.Set(prefix+a, []byte(`{"state":"draining","cell":9}`))
+	select {
+	case n := <-news:
+		t.Errorf("news of a watch that was ended: %+v", n)
+	case <-time.After(100 * time.Millisecond):
+	}
+}
+
+// TestNonsense has values that make no sense change nothing and be told of.
+func TestNonsense(t *testing.T) {
+	s, e, news := watch(t)
+	s.Set(prefix+"127.0.0.1:1", []byte(`{"state":"on"}`))
+	for i, value := range []string{"", "{", `{"state":"up"}`, `{"state":"on","cell":-1}`, `{"state":"on","started_ms":-5}`} {
+		s.Set(fmt.Sprintf("%s127.0.0.1:%d", prefix, 2+i), []byte(value))
+	}
+	s.Set(prefix+"no address", []byte(`{"state":"on"}`))
+	e.Watch(true)
+	if n := next(t, news, honeyplank.Whole); len(n.Nodes) != 1 || len(n.Skipped) != 6 {
+		t.Errorf("%d nodes, %d skipped", len(n.Nodes), len(n.Skipped))
+	}
+	s.Set(prefix+"127.0.0.1:1", []byte("gibberish"))
+	if n := next(t, news, honeyplank.Changes); len(n.Nodes) != 0 || len(n.Skipped) != 1 {
+		t.Errorf("%+v", n)
+	}
+}
+
+// TestOutOfReach asks where nobody serves, and where calls are refused: each ask has its answer.
+func TestOutOfReach(t *testing.T) {
+	s, e, news := watch(t)
+	s.Down(true)
+	for range 3 {
+		e.Watch(true)
+		next(t, news, honeyplank.Refused)
+	}
+	s.Close()
+	e.Watch(true)
+	next(t, news, honeyplank.Refused)
+}
--- a/rehearse/baseline.go
+++ b/rehearse/baseline.go
@@ -66,6 +66,7 @@
 	"slow":            {{Kind: "slow", Count: 1, Times: 6}},
 	"pauses":          {{Kind: "pause", Count: 3}},
 	"surge":           {{Kind: "surge", Count: 2, Times: 8}},
+	"overload":        {{Kind: "surge", Count: 1000, Times: 6}}, // with the built-in fleet: twice its capacity
 	"plan-surge":      {{Kind: "plan-surge", Plan: "standard", Times: 4}},
 	"list-stale":      {{Kind: "list-late", Times: 2}},
 	"list-down":       {{Kind: "list-down"}, {Kind: "die", Count: 1}},
