--- /dev/null
+++ b/belief/belief.go
@@ -0,0 +1,422 @@
+// Package belief decides which disk servers are believed to be there. What two sources say, and when, goes in;
+// the list for the decision module comes out. It does no I/O, reads no clock and starts no goroutine.
+// docs/sources.md is its table to read aloud.
+package belief
+
+import (
+	"time"
+
+	"honeyplank"
+)
+
+// Source is one of the two that speak of the disk servers.
+type Source int
+
+const (
+	Etcd Source = iota
+	DNS
+	sources
+)
+
+func (s Source) String() string { return [...]string{"etcd", "dns"}[s] }
+
+// State is what a source says of a node, and what is believed of it.
+type State int
+
+const (
+	Never    State = iota // it has not spoken of the node
+	On                    // it takes work
+	Draining              // no new work
+	Gone                  // it is not there any more
+)
+
+func (s State) String() string { return [...]string{"never", "on", "draining", "gone"}[s] }
+
+// Statement is what a source says of one node.
+type Statement struct {
+	Member honeyplank.Member // its State is not read
+	State  State             // On, Draining or Gone
+}
+
+// Terms are the figures that the rule goes by; all are settings.
+type Terms struct {
+	// Vanish is the part of what a source holds on or draining that may vanish at once and be believed. More
+	// than that at once is doubted: it may be the source that is ill.
+	Vanish float64
+	// Confirm is how long a vanishing that is doubted must last to be believed where the other source does not
+	// hold the node on.
+	Confirm time.Duration
+	// Calm is within how long a node's coming back is counted; the Flaps-th within it and each after is held
+	// back for Hold, twice as long each time, up to Calm. Losing work is never held back.
+	Calm  time.Duration
+	Flaps int
+	Hold  time.Duration
+}
+
+// word is what a source last said of a node.
+type word struct {
+	state  State
+	at     time.Duration
+	member honeyplank.Member
+	// doubted: it vanished with too many others at once. state and at are of before; since tells when.
+	doubted bool
+	since   time.Duration
+}
+
+// node is the one record of a disk server.
+type node struct {
+	id       honeyplank.OSDID
+	words    [sources]word
+	believed State
+	cause    Cause
+	since    time.Duration
+	backs    []time.Duration // when it came back, within Calm
+	hold     time.Duration   // how long the last coming back was held
+	until    time.Duration   // held back until
+	listed   honeyplank.Member
+	told     bool // the module has been told of it
+	waiting  bool // in the book's list of nodes that time alone may change
+}
+
+// Cause is why a state is believed.
+type Cause int
+
+const (
+	Unheard   Cause = iota
+	Agreed          // no source says otherwise
+	Said            // a source says draining or gone
+	Newer           // a start newer than the word that took it out
+	Doubted         // it vanished with too many others; believed as before
+	Confirmed       // such a vanishing lasted
+	Held            // it came back too often; held out for a while
+)
+
+func (c Cause) String() string {
+	return [...]string{"unheard", "agreed", "said", "newer start", "vanishing doubted", "vanishing confirmed", "held back"}[c]
+}
+
+// Book holds what is believed. The zero value is of no use: call New.
+type Book struct {
+	terms   Terms
+	now     time.Duration
+	nodes   map[honeyplank.OSDID]*node
+	held    [sources]int             // nodes that a source holds on or draining, doubted ones included
+	recent  [sources][]time.Duration // vanishings believed within Confirm
+	heard   [sources]time.Duration   // when it last spoke; 0: never
+	failing [sources]time.Duration   // since when it fails; 0: it does not
+	waits   []*node                  // those that time alone may change
+	next    time.Duration
+	version int64
+	first   bool
+}
+
+// New makes a book that has heard nothing.
+func New(t Terms) *Book {
+	return &Book{terms: t, nodes: map[honeyplank.OSDID]*node{}}
+}
+
+// ---- Inputs ----
+
+// Whole tells all that a source holds: what it leaves out of what it held has vanished. It returns what is to
+// be told to the module, as Changes, or as the Whole list the first time.
+func (b *Book) Whole(now time.Duration, from Source, all []Statement) (out []honeyplank.List) {
+	b.hear(now, from)
+	before := b.held[from]
+	stated := make(map[honeyplank.OSDID]bool, len(all))
+	var touched []*node
+	for _, s := range all {
+		stated[s.Member.OSD] = true
+		touched = append(touched, b.say(from, s))
+	}
+	var vanished []*node
+	for id, n := range b.nodes {
+		if w := &n.words[from]; (w.state == On || w.state == Draining) && !stated[id] {
+			vanished = append(vanished, n)
+		}
+	}
+	return b.tell(append(touched, b.vanish(from, vanished, before)...))
+}
+
+// Changes tells what of a source has changed at once, as one revision of etcd does.
+func (b *Book) Changes(now time.Duration, from Source, some []Statement) []honeyplank.List {
+	b.hear(now, from)
+	var touched, vanished []*node
+	before := b.held[from]
+	for _, s := range some {
+		if s.State == Gone {
+			if n := b.nodes[s.Member.OSD]; n != nil && (n.words[from].state == On || n.words[from].state == Draining) {
+				vanished = append(vanished, n)
+			}
+			continue
+		}
+		touched = append(touched, b.say(from, s))
+	}
+	return b.tell(append(touched, b.vanish(from, vanished, before)...))
+}
+
+// Failed tells that a source could not be asked, or broke off. What it said before stays.
+func (b *Book) Failed(now time.Duration, from Source) {
+	b.now = now
+	if b.failing[from] == 0 {
+		b.failing[from] = now
+	}
+}
+
+// Tick tells that time has passed.
+func (b *Book) Tick(now time.Duration) []honeyplank.List {
+	b.now = now
+	due := b.waits
+	b.waits, b.next = nil, 0
+	for _, n := range due {
+		n.waiting = false
+	}
+	return b.tell(due)
+}
+
+// Next is when a Tick may change something; 0: nothing waits. A Tick too early does no harm.
+func (b *Book) Next() time.Duration { return b.next }
+
+// due is when time alone may next change what is believed of a node; 0: never.
+func (b *Book) due(n *node) (at time.Duration) {
+	for _, t := range [...]time.Duration{n.words[Etcd].confirm(b.terms), n.words[DNS].confirm(b.terms), n.until} {
+		if t > b.now && (at == 0 || t < at) {
+			at = t
+		}
+	}
+	return at
+}
+
+// confirm is when a doubted vanishing has lasted; 0: it is not doubted.
+func (w *word) confirm(t Terms) time.Duration {
+	if !w.doubted {
+		return 0
+	}
+	return w.since + t.Confirm
+}
+
+func (b *Book) hear(now time.Duration, from Source) {
+	b.now = now
+	b.heard[from], b.failing[from] = max(now, 1), 0
+}
+
+// say takes in that a source holds a node on or draining.
+func (b *Book) say(from Source, s Statement) *node {
+	n := b.nodes[s.Member.OSD]
+	if n == nil {
+		n = &node{id: s.Member.OSD}
+		b.nodes[n.id] = n
+	}
+	w := &n.words[from]
+	if w.state != On && w.state != Draining {
+		b.held[from]++
+	}
+	if w.state != s.State || w.member.Started != s.Member.Started || w.doubted {
+		w.at = b.now // a repeated word keeps its time: it is no fresher than when it was first said
+	}
+	w.state, w.member, w.doubted = s.State, s.Member, false
+	return n
+}
+
+// vanish takes in that nodes are no longer held by a source that held before so many. A few are believed; a large
+// part within Confirm is doubted. It guards against a source that empties by mistake, at once or key by key as
+// leases run out; it delays the news where a large part of a fleet really goes, which outcomes then tell. A node
+// that was draining is no loss and is always believed to be gone.
+func (b *Book) vanish(from Source, nodes []*node, before int) []*node {
+	old := 0
+	for old < len(b.recent[from]) && b.recent[from][old] <= b.now-b.terms.Confirm {
+		old++
+	}
+	b.recent[from] = b.recent[from][old:]
+	lost := len(b.recent[from])
+	for _, n := range nodes {
+		if n.words[from].state == On {
+			lost++
+		}
+	}
+	all := before + len(b.recent[from])
+	doubt := all > 1 && float64(lost) > b.terms.Vanish*float64(all)
+	for _, n := range nodes {
+		if w := &n.words[from]; !doubt || w.state == Draining {
+			b.let(from, n)
+		} else if !w.doubted {
+			w.doubted, w.since = true, b.now
+		}
+	}
+	return nodes
+}
+
+// let has a source say that a node is gone.
+func (b *Book) let(from Source, n *node) {
+	w := &n.words[from]
+	if w.state == On || w.state == Draining {
+		b.held[from]--
+	}
+	if w.state == On && !w.doubted {
+		b.recent[from] = append(b.recent[from], b.now)
+	}
+	w.state, w.at, w.doubted = Gone, b.now, false
+}
+
+// ---- The rule ----
+
+// rule is what is believed by what etcd and DNS say; a doubted word counts as what it was. The worse word holds,
+// whoever says it: no source can put a node back that the other has taken out, except by showing a start that is
+// newer than the word that took it out.
+var rule = [4][4]State{
+	//            DNS: never     on        draining  gone
+	Never:    {Never, On, Draining, Gone},
+	On:       {On, On, Draining, Gone},
+	Draining: {Draining, Draining, Draining, Gone},
+	Gone:     {Gone, Gone, Gone, Gone},
+}
+
+// judge is what is believed of a node now, and why.
+func (b *Book) judge(n *node) (State, Cause) {
+	for from := range n.words {
+		w, other := &n.words[from], &n.words[1-from]
+		if w.doubted && b.now >= w.confirm(b.terms) && !(other.state == On && !other.doubted) {
+			b.let(Source(from), n)
+			n.cause = Confirmed
+		}
+	}
+	e, d := n.words[Etcd], n.words[DNS]
+	state, cause := rule[e.state][d.state], Agreed
+	if state == Draining || state == Gone {
+		cause = Said
+		for from := range n.words {
+			out, other := &n.words[from], &n.words[1-from]
+			if (out.state == Draining || out.state == Gone) && other.state == On && !other.doubted && other.member.Started > out.at {
+				state, cause = On, Newer
+			}
+		}
+	}
+	if state == On && (e.doubted || d.doubted) {
+		cause = Doubted
+	}
+	return state, cause
+}
+
+// back counts a node's coming back and tells whether it is held out for now. It guards against nodes that sources
+// put in and out again and again, each time moving ops; it could harm where one restarts often and soundly.
+func (b *Book) back(n *node) bool {
+	if n.until > b.now {
+		return true
+	}
+	if n.until > 0 { // the hold is over
+		n.until = 0
+		return false
+	}
+	for len(n.backs) > 0 && n.backs[0] <= b.now-b.terms.Calm-n.hold { // calm counts from the end of a hold
+		n.backs = n.backs[1:]
+	}
+	if len(n.backs) == 0 {
+		n.hold = 0
+	}
+	n.backs = append(n.backs, b.now)
+	if b.terms.Flaps <= 0 || len(n.backs) < b.terms.Flaps {
+		return false
+	}
+	n.hold = min(max(2*n.hold, b.terms.Hold), b.terms.Calm)
+	n.until = b.now + n.hold
+	return n.until > b.now
+}
+
+// tell judges the nodes touched and makes the list of what has changed.
+func (b *Book) tell(touched []*node) []honeyplank.List {
+	var members []honeyplank.Member
+	for _, n := range touched {
+		was := n.believed
+		n.cause = Unheard
+		state, cause := b.judge(n)
+		if n.cause == Confirmed {
+			cause = Confirmed
+		}
+		if state == On && (was == Draining || was == Gone) && b.back(n) {
+			state, cause = was, Held
+		}
+		if state != was {
+			n.since = b.now
+		}
+		n.believed, n.cause = state, cause
+		if due := b.due(n); due > 0 {
+			if !n.waiting {
+				n.waiting = true
+				b.waits = append(b.waits, n)
+			}
+			if b.next == 0 || due < b.next {
+				b.next = due
+			}
+		}
+		m := b.member(n)
+		if n.told && m == n.listed || !n.told && state != On && state != Draining {
+			continue
+		}
+		n.told, n.listed = true, m
+		members = append(members, m)
+	}
+	if len(members) == 0 && b.first {
+		return nil
+	}
+	b.version++
+	kind := honeyplank.Changes
+	if !b.first {
+		kind, b.first = honeyplank.Whole, true
+	}
+	return []honeyplank.List{{Kind: kind, Version: b.version, Members: members}}
+}
+
+// member is a node as the module is told of it: the figures of the fresher source, the latest start that either
+// knows, since a server taken for older than it is could be pushed over.
+func (b *Book) member(n *node) honeyplank.Member {
+	e, d := &n.words[Etcd], &n.words[DNS]
+	m := e.member
+	if e.state == Never || e.state == Gone && (d.state == On || d.state == Draining) {
+		m = d.member
+	}
+	m.OSD, m.Started = n.id, max(e.member.Started, d.member.Started)
+	switch n.believed {
+	case On:
+		m.State = honeyplank.On
+	case Draining:
+		m.State = honeyplank.Draining
+	default:
+		m.State = honeyplank.Gone
+	}
+	return m
+}
+
+// View is what is believed of a node, for people.
+type View struct {
+	Member   honeyplank.Member
+	Believed State
+	Cause    Cause
+	Since    time.Duration
+	Says     [sources]State
+	Told     [sources]time.Duration // when each source came to say so
+	Doubted  [sources]bool
+	Until    time.Duration // held back until; 0: not
+}
+
+// View tells of a node; ok is false for one that nobody spoke of.
+func (b *Book) View(id honeyplank.OSDID) (v View, ok bool) {
+	n := b.nodes[id]
+	if n == nil {
+		return v, false
+	}
+	v = View{Member: b.member(n), Believed: n.believed, Cause: n.cause, Since: n.since, Until: n.until}
+	for from, w := range n.words {
+		v.Says[from], v.Told[from], v.Doubted[from] = w.state, w.at, w.doubted
+	}
+	return v, true
+}
+
+// Nodes lists the ids of all nodes that were spoken of, in no order.
+func (b *Book) Nodes() (ids []honeyplank.OSDID) {
+	for id := range b.nodes {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Source tells when a source last spoke (0: never) and since when it fails (0: it does not).
+func (b *Book) Source(s Source) (heard, failing time.Duration) { return b.heard[s], b.failing[s] }
