The etcd watch resumes from its revision, survives compaction, and notices silence

Need: with many schedulers watching, a broken watch is ordinary; history may be compacted, a watch may stay open and deliver nothing, and an answer may come in fragments.

Change: after a break the watch goes on from the revision told last; compacted history or another history brings the whole list anew; a quiet watch is asked for its progress and ended when it does not answer; fragments are put together, and events that go back are passed over. The stand-in learns compaction, transactions, progress and silence.

Measured: tests cause each; after a break only the two changes missed are told of 2,500 nodes, not the list.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -132,7 +132,7 @@
 	for _, e := range s.List.Etcd {
 		endpoints = append(endpoints, e.Endpoint)
 	}
-	g.source = members.New(endpoints, s.List.Prefix, s.Listen.Host, func(n members.News) { l.Post(func() { g.news(n) }) })
+	g.source = members.New(endpoints, s.List.Prefix, s.Listen.Host, s.List.AskWithin.D(), func(n members.News) { l.Post(func() { g.news(n) }) })
 	return g, nil
 }
 
--- a/members/etcd.go
+++ b/members/etcd.go
@@ -1,6 +1,6 @@
-// Package members learns of the disk servers from etcd, over its published gRPC API: the list under a prefix,
-// then a watch from the revision that was read. It asks when it is told to, tells what it heard, and reports
-// a watch that broke; when to ask again is not decided here. docs/etcd.md gives the layout of the keys.
+// Package members learns of the disk servers: from etcd over its published gRPC API (docs/etcd.md) and from DNS
+// SRV records (docs/dns.md). The sources ask, tell what they heard and report what failed. Whom to believe is
+// decided in package belief, when to ask etcd again by the module.
 package members
 
 import (
@@ -61,14 +61,19 @@
 	running   sync.WaitGroup
 	closed    bool
 	serial    int
+	quiet     time.Duration
+	revision  int64           // up to which everything has been told
+	known     map[string]Node // what was told last
 }
 
-// New makes a source that asks the endpoints in turn, under the name agent.
-func New(endpoints []string, prefix, agent string, tell func(News)) *Etcd {
-	return &Etcd{endpoints: endpoints, prefix: prefix, agent: agent, tell: tell}
+// New makes a source that asks the endpoints in turn, under the name agent. A watch that has said nothing for
+// quiet, not even that it has nothing to say, counts as broken.
+func New(endpoints []string, prefix, agent string, quiet time.Duration, tell func(News)) *Etcd {
+	return &Etcd{endpoints: endpoints, prefix: prefix, agent: agent, quiet: quiet, tell: tell, known: map[string]Node{}}
 }
 
-// Watch begins anew with the whole list and then its changes, or stops.
+// Watch follows the list, or stops: from the revision last told where there is one and its history is still
+// kept, else from the whole list.
 func (e *Etcd) Watch(on bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -102,20 +107,30 @@
 	go func() {
 		defer e.running.Done()
 		defer cancel()
-		err := e.run(ctx, endpoint, watch, func(n News) { e.deliver(serial, n) })
-		if err != nil {
-			e.deliver(serial, News{Kind: honeyplank.Refused, Err: err})
+		if err := e.run(ctx, endpoint, watch, serial); err != nil {
+			e.deliver(serial, News{Kind: honeyplank.Refused, Err: err}, nil)
 		}
 	}()
 }
 
-// deliver tells news, unless the watch it is of has been replaced.
-func (e *Etcd) deliver(serial int, n News) {
+// deliver tells news made of pairs, unless the watch it is of has been replaced; it tells whether it has not.
+func (e *Etcd) deliver(serial int, n News, events []*mvccpb.Event) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if serial == e.serial && !e.closed {
-		e.tell(n)
+	if serial != e.serial || e.closed {
+		return false
+	}
+	if n.Kind == honeyplank.Whole {
+		clear(e.known)
+	}
+	for _, event := range events {
+		e.note(&n, event.Kv, event.Type == mvccpb.DELETE)
+	}
+	if n.Revision > 0 {
+		e.revision = n.Revision
 	}
+	e.tell(n)
+	return true
 }
 
 // Close ends the watch and waits for what runs.
@@ -135,69 +150,148 @@
 // patience bounds one call, and the silence of a connection.
 const patience = 5 * time.Second
 
-func (e *Etcd) run(ctx context.Context, endpoint string, watch bool, tell func(News)) error {
+// errHistory tells that a watch can't go on from where it was: the whole list is needed.
+var errHistory = errors.New("members: the history since the last revision is gone")
+
+func (e *Etcd) run(ctx context.Context, endpoint string, watch bool, serial int) error {
 	c, err := grpc.NewClient("passthrough:///"+endpoint, grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithUserAgent(e.agent),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 2 * patience, Timeout: patience}))
 	if err != nil {
 		return err
 	}
 	defer c.Close()
-	kv := etcdserverpb.NewKVClient(c)
-	from, end := []byte(e.prefix), prefixEnd(e.prefix)
-	whole := News{Kind: honeyplank.Whole}
-	known := map[string]Node{}
-	for more := true; more; { // all pages at the revision of the first
+	e.mu.Lock()
+	from := e.revision
+	e.mu.Unlock()
+	for watch && from > 0 {
+		if err := e.follow(ctx, c, endpoint, serial, from); !errors.Is(err, errHistory) {
+			return err
+		}
+		from = 0
+	}
+	if from, err = e.whole(ctx, c, endpoint, serial); err != nil || !watch {
+		return err
+	}
+	return e.follow(ctx, c, endpoint, serial, from)
+}
+
+// whole reads the list, in pages, all at the revision of the first, which it returns.
+func (e *Etcd) whole(ctx context.Context, c *grpc.ClientConn, endpoint string, serial int) (int64, error) {
+	kv, from, end := etcdserverpb.NewKVClient(c), []byte(e.prefix), prefixEnd(e.prefix)
+	news := News{Kind: honeyplank.Whole}
+	var events []*mvccpb.Event
+	for more := true; more; {
 		call, cancel := context.WithTimeout(ctx, patience)
-		r, err := kv.Range(call, &etcdserverpb.RangeRequest{Key: from, RangeEnd: end, Limit: pageSize, Revision: whole.Revision})
+		r, err := kv.Range(call, &etcdserverpb.RangeRequest{Key: from, RangeEnd: end, Limit: pageSize, Revision: news.Revision})
 		cancel()
 		if err != nil {
-			return fmt.Errorf("members: range at %s: %w", endpoint, err)
+			return 0, fmt.Errorf("members: range at %s: %w", endpoint, err)
 		}
-		if whole.Revision == 0 {
-			whole.Revision = r.GetHeader().GetRevision()
+		if news.Revision == 0 {
+			news.Revision = r.GetHeader().GetRevision()
 		}
 		for _, pair := range r.Kvs {
-			e.note(&whole, known, pair, false)
+			events = append(events, &mvccpb.Event{Kv: pair})
 		}
 		if more = r.More && len(r.Kvs) > 0; more {
 			from = append(append([]byte(nil), r.Kvs[len(r.Kvs)-1].Key...), 0)
 		}
 	}
-	tell(whole)
-	if !watch {
-		return nil
+	if !e.deliver(serial, news, events) {
+		return 0, context.Canceled
+	}
+	return news.Revision, nil
+}
+
+// follow watches from after a revision until the watch breaks. The changes of one revision are told together.
+func (e *Etcd) follow(ctx context.Context, c *grpc.ClientConn, endpoint string, serial int, from int64) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	wrap := func(err error) error {
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		}
+		return fmt.Errorf("members: watch at %s: %w", endpoint, err)
 	}
 	stream, err := etcdserverpb.NewWatchClient(c).Watch(ctx)
 	if err != nil {
-		return fmt.Errorf("members: watch at %s: %w", endpoint, err)
+		return wrap(err)
 	}
 	err = stream.Send(&etcdserverpb.WatchRequest{RequestUnion: &etcdserverpb.WatchRequest_CreateRequest{
-		CreateRequest: &etcdserverpb.WatchCreateRequest{Key: []byte(e.prefix), RangeEnd: end, StartRevision: whole.Revision + 1}}})
+		CreateRequest: &etcdserverpb.WatchCreateRequest{Key: []byte(e.prefix), RangeEnd: prefixEnd(e.prefix), StartRevision: from + 1, ProgressNotify: true, Fragment: true}}})
 	if err != nil {
-		return fmt.Errorf("members: watch at %s: %w", endpoint, err)
+		return wrap(err)
 	}
+	heard := make(chan struct{}, 1)
+	go e.nudge(ctx, cancel, stream, heard)
+	var held []*mvccpb.Event // fragments of a response
 	for {
 		r, err := stream.Recv()
 		if err != nil {
-			return fmt.Errorf("members: watch at %s: %w", endpoint, err)
+			return wrap(err)
+		}
+		select {
+		case heard <- struct{}{}:
+		default:
+		}
+		revision := r.GetHeader().GetRevision()
+		switch {
+		case r.Canceled && r.CompactRevision > 0, r.Created && revision < from: // compacted, or another history
+			return errHistory
+		case r.Canceled:
+			return wrap(fmt.Errorf("cancelled: %s", r.CancelReason))
+		case r.Created: // nothing may come for long: the watch stands
+			e.deliver(serial, News{Kind: honeyplank.Changes}, nil)
+			continue
 		}
-		if r.Canceled {
-			return fmt.Errorf("members: watch at %s was cancelled: %s (compacted at %d)", endpoint, r.CancelReason, r.CompactRevision)
+		for _, event := range r.Events { // what was told already, or goes back, is passed over
+			if event.Kv.ModRevision > from {
+				held = append(held, event)
+			}
 		}
-		news := News{Kind: honeyplank.Changes, Revision: r.GetHeader().GetRevision()}
-		for _, event := range r.Events {
-			e.note(&news, known, event.Kv, event.Type == mvccpb.DELETE)
+		if r.Fragment {
+			continue
 		}
-		if len(news.Nodes)+len(news.Skipped) > 0 {
-			tell(news)
+		if revision > from {
+			from = revision
+		}
+		if len(held) > 0 && !e.deliver(serial, News{Kind: honeyplank.Changes, Revision: from}, held) {
+			return context.Canceled
+		}
+		held = nil
+	}
+}
+
+// nudge asks a quiet watch for its progress, and ends one that does not answer. It guards against a watch that
+// stays open and delivers nothing; it could harm where quiet is shorter than a slow etcd takes.
+func (e *Etcd) nudge(ctx context.Context, cancel context.CancelCauseFunc, stream etcdserverpb.Watch_WatchClient, heard chan struct{}) {
+	if e.quiet <= 0 {
+		return
+	}
+	for asked := false; ; {
+		wait := time.NewTimer(e.quiet / 2)
+		select {
+		case <-ctx.Done():
+			wait.Stop()
+			return
+		case <-heard:
+			wait.Stop()
+			asked = false
+		case <-wait.C:
+			if asked {
+				cancel(fmt.Errorf("nothing came for %v", e.quiet))
+				return
+			}
+			asked = true
+			stream.Send(&etcdserverpb.WatchRequest{RequestUnion: &etcdserverpb.WatchRequest_ProgressRequest{ProgressRequest: &etcdserverpb.WatchProgressRequest{}}})
 		}
 	}
 }
 
 // note adds a pair to news. A node is gone by its deletion alone; a value that makes no sense changes nothing.
-func (e *Etcd) note(news *News, known map[string]Node, pair *mvccpb.KeyValue, deleted bool) {
+func (e *Etcd) note(news *News, pair *mvccpb.KeyValue, deleted bool) {
 	address := strings.TrimPrefix(string(pair.Key), e.prefix)
-	n := known[address]
+	n := e.known[address]
 	n.Address, n.Gone = address, deleted
 	if !deleted {
 		r, err := ParseRecord(address, pair.Value)
@@ -207,7 +301,7 @@
 		}
 		n.Record = r
 	}
-	known[address] = n
+	e.known[address] = n
 	news.Nodes = append(news.Nodes, n)
 }
 
--- a/members/etcd_test.go
+++ b/members/etcd_test.go
@@ -19,7 +19,7 @@
 		t.Fatal(err)
 	}
 	out := make(chan News, 100)
-	e := New([]string{s.Address()}, prefix, "test", func(n News) { out <- n })
+	e := New([]string{s.Address()}, prefix, "test", 400*time.Millisecond, func(n News) { out <- n })
 	t.Cleanup(func() { e.Close(); s.Close() })
 	return s, e, out
 }
@@ -28,6 +28,9 @@
 	t.Helper()
 	select {
 	case n := <-c:
+		if n.Kind == honeyplank.Changes && len(n.Nodes)+len(n.Skipped) == 0 && n.Err == nil && kind >= 0 {
+			return next(t, c, kind) // the watch stands
+		}
 		if n.Kind != kind {
 			t.Fatalf("news of kind %d, want %d: %+v", n.Kind, kind, n)
 		}
@@ -62,10 +65,25 @@
 	if n := next(t, news, honeyplank.Refused); n.Err == nil || len(n.Nodes) > 0 {
 		t.Errorf("%+v", n)
 	}
-	s.Set(prefix+a, []byte(`{"state":"on","cell":9}`)) // missed: nobody watches
+	s.Set(prefix+a, []byte(`{"state":"on","cell":9}`)) // nobody watches
+	s.Delete(prefix + "127.0.0.1:1001")
 	e.Watch(true)
-	if n := next(t, news, honeyplank.Whole); len(n.Nodes) != 2500 || n.Nodes[0].Cell != 9 {
-		t.Errorf("%d nodes after the break", len(n.Nodes))
+	if n := next(t, news, honeyplank.Changes).Nodes; len(n) != 2 || n[0].Cell != 9 || !n[1].Gone {
+		t.Errorf("after the break, from the revision told last: %+v", n)
+	}
+	s.Break()
+	next(t, news, honeyplank.Refused)
+	s.Delete(prefix + "127.0.0.1:1002")
+	s.Set(prefix+a, []byte(`{"state":"draining","cell":9}`))
+	s.Set(prefix+a, []byte(`{"state":"draining","cell":8}`))
+	s.Forget() // the drain and the loss are history that is gone
+	e.Watch(true)
+	if n := next(t, news, honeyplank.Whole); len(n.Nodes) != 2498 || n.Nodes[0].State != "draining" || n.Nodes[0].Cell != 8 {
+		t.Errorf("after compaction: %d nodes, the first %+v", len(n.Nodes), n.Nodes[0])
+	}
+	s.Apply(map[string][]byte{prefix + "127.0.0.1:1003": nil, prefix + "127.0.0.1:1004": []byte(`{"state":"draining"}`), prefix + "127.0.0.1:1005": nil})
+	if n := next(t, news, honeyplank.Changes).Nodes; len(n) != 3 {
+		t.Errorf("of one revision, %d changes came together", len(n))
 	}
 	e.Fetch()
 	next(t, news, honeyplank.Whole)
@@ -108,3 +126,22 @@
 	e.Watch(true)
 	next(t, news, honeyplank.Refused)
 }
+
+// TestMute has a watch stay open and deliver nothing, not even progress: it counts as broken, and what was missed
+// comes with the next.
+func TestMute(t *testing.T) {
+	s, e, news := watch(t)
+	e.Watch(true)
+	next(t, news, honeyplank.Whole)
+	time.Sleep(time.Second) // a quiet watch that answers stands
+	s.Mute(true)
+	s.Set(prefix+"127.0.0.1:1", []byte(`{"state":"on"}`))
+	if n := next(t, news, honeyplank.Refused); n.Err == nil {
+		t.Error("no reason")
+	}
+	s.Mute(false)
+	e.Watch(true)
+	if n := next(t, news, honeyplank.Changes); len(n.Nodes) != 1 {
+		t.Errorf("%+v", n)
+	}
+}
--- a/standin/etcd/etcd.go
+++ b/standin/etcd/etcd.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"maps"
 	"net"
 	"sort"
 	"strings"
@@ -37,7 +38,10 @@
 	changed  chan struct{}   // closed at the next change
 	breaks   chan struct{}   // closed when watches break
 	down     bool
+	mute     bool // watches stay open and say nothing
 	late     time.Duration
+	kept     int64                       // revisions before are compacted away
+	old      map[string]*mvccpb.KeyValue // the state before the events that are kept
 }
 
 // New serves at a loopback address, port 0 for any.
@@ -46,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{server: grpc.NewServer(), address: l.Addr().String(), revision: 1, pairs: map[string]*mvccpb.KeyValue{},
+	s := &Server{server: grpc.NewServer(), address: l.Addr().String(), revision: 1, pairs: map[string]*mvccpb.KeyValue{}, old: map[string]*mvccpb.KeyValue{},
 		changed: make(chan struct{}), breaks: make(chan struct{})}
 	etcdserverpb.RegisterKVServer(s.server, s)
 	etcdserverpb.RegisterWatchServer(s.server, s)
@@ -122,6 +126,66 @@
 	s.breaks = make(chan struct{})
 }
 
+// Forget drops the history before the present revision; watches that want it are cancelled.
+func (s *Server) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compact(s.revision)
+}
+
+func (s *Server) compact(to int64) {
+	s.kept = to
+	i := sort.Search(len(s.events), func(i int) bool { return s.events[i].Kv.ModRevision >= to })
+	for _, e := range s.events[:i] {
+		if e.Type == mvccpb.DELETE {
+			delete(s.old, string(e.Kv.Key))
+		} else {
+			s.old[string(e.Kv.Key)] = e.Kv
+		}
+	}
+	s.events = append([]*mvccpb.Event(nil), s.events[i:]...)
+}
+
+// Mute has watches stay open and say nothing.
+func (s *Server) Mute(mute bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mute = mute
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Apply puts (or, without a value, deletes) many keys in one revision, as a transaction does.
+func (s *Server) Apply(values map[string][]byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.revision
+	for key, value := range values {
+		s.revision = before
+		if len(value) == 0 {
+			s.remove(key)
+		} else {
+			s.set(key, value)
+		}
+	}
+	s.revision = before + 1
+}
+
+func (s *Server) compaction(r int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.down:
+		return errDown
+	case r <= s.kept:
+		return status.Error(codes.OutOfRange, "etcdserver: mvcc: required revision has been compacted")
+	case r > s.revision:
+		return status.Error(codes.OutOfRange, "etcdserver: mvcc: required revision is a future revision")
+	}
+	s.compact(r)
+	return nil
+}
+
 // Late has watches tell each change so much later.
 func (s *Server) Late(by time.Duration) {
 	s.mu.Lock()
@@ -161,9 +225,12 @@
 	if s.down {
 		return nil, errDown
 	}
+	if r.Revision > 0 && r.Revision < s.kept {
+		return nil, status.Error(codes.OutOfRange, "etcdserver: mvcc: required revision has been compacted")
+	}
 	pairs := s.pairs
 	if r.Revision > 0 && r.Revision < s.revision {
-		pairs = map[string]*mvccpb.KeyValue{}
+		pairs = maps.Clone(s.old)
 		for _, e := range s.events {
 			if key := string(e.Kv.Key); e.Kv.ModRevision > r.Revision {
 				break
@@ -220,6 +287,14 @@
 	return out, nil
 }
 
+// Compact drops the history before a revision.
+func (s *Server) Compact(_ context.Context, r *etcdserverpb.CompactionRequest) (*etcdserverpb.CompactionResponse, error) {
+	if err := s.compaction(r.Revision); err != nil {
+		return nil, err
+	}
+	return &etcdserverpb.CompactionResponse{Header: s.head()}, nil
+}
+
 // Watch serves one stream. Each watch on it has a goroutine of its own.
 func (s *Server) Watch(stream etcdserverpb.Watch_WatchServer) error {
 	ctx, cancel := context.WithCancel(stream.Context())
@@ -256,7 +331,7 @@
 					stop()
 					send(&etcdserverpb.WatchResponse{Header: s.head(), WatchId: r.GetCancelRequest().WatchId, Canceled: true})
 				}
-			case r.GetProgressRequest() != nil:
+			case r.GetProgressRequest() != nil && !s.silent():
 				send(&etcdserverpb.WatchResponse{Header: s.head(), WatchId: -1})
 			}
 		}
@@ -264,6 +339,12 @@
 	return <-ended
 }
 
+func (s *Server) silent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mute
+}
+
 func (s *Server) head() *etcdserverpb.ResponseHeader {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -273,6 +354,10 @@
 func (s *Server) follow(ctx context.Context, id int64, r *etcdserverpb.WatchCreateRequest, send func(*etcdserverpb.WatchResponse) error, end func(error)) {
 	s.mu.Lock()
 	next, breaks, down := r.StartRevision, s.breaks, s.down
+	compacted := int64(0)
+	if next > 0 && next < s.kept {
+		compacted = s.kept
+	}
 	if next == 0 {
 		next = s.revision + 1
 	}
@@ -285,9 +370,13 @@
 	if send(&etcdserverpb.WatchResponse{Header: head, WatchId: id, Created: true}) != nil {
 		return
 	}
+	if compacted > 0 {
+		send(&etcdserverpb.WatchResponse{Header: head, WatchId: id, Canceled: true, CompactRevision: compacted, CancelReason: "etcdserver: mvcc: required revision has been compacted"})
+		return
+	}
 	for {
 		s.mu.Lock()
-		changed, late := s.changed, s.late
+		changed, late, mute := s.changed, s.late, s.mute
 		out := &etcdserverpb.WatchResponse{Header: s.header(), WatchId: id}
 		from := sort.Search(len(s.events), func(i int) bool { return s.events[i].Kv.ModRevision >= next })
 		for _, e := range s.events[from:] {
@@ -295,7 +384,11 @@
 				out.Events = append(out.Events, e)
 			}
 		}
-		next = s.revision + 1
+		if mute {
+			out.Events = nil
+		} else {
+			next = s.revision + 1
+		}
 		s.mu.Unlock()
 		if late > 0 && len(out.Events) > 0 {
 			select {
