A list change costs what it names, not what the fleet holds

Need: with 10,000 nodes each change of the list made the module sort and survey all of them.

Change: holders and the count of running servers are kept change by change; a whole list still looks at all. A list kind Aside carries changes that say nothing of the watch.

--- /dev/null
+++ b/belief/bench_test.go
@@ -0,0 +1,44 @@
+package belief_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"honeyplank"
+	"honeyplank/belief"
+	"honeyplank/policy"
+)
+
+// BenchmarkChange measures one change through the rule and the decision module, by the size of the fleet: the
+// work must grow with the change, not with the fleet.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 10000} {
+		b.Run(fmt.Sprint(n, " nodes"), func(b *testing.B) {
+			terms := belief.Terms{Vanish: 0.5, Confirm: 10 * time.Second, Calm: time.Minute}
+			book, now := belief.New(terms), time.Minute
+			module := policy.New(1, map[string]any{"optypes.target_latency": []time.Duration{200 * time.Millisecond}, "optypes.op_timeout": []time.Duration{time.Second}})
+			var all []belief.Statement
+			for i := range n {
+				all = append(all, belief.Statement{Member: honeyplank.Member{OSD: honeyplank.OSDID(fmt.Sprintf("127.0.0.1:%05d", i)), Cell: i}, State: belief.On})
+			}
+			for from := range 2 {
+				for _, l := range book.Whole(now, belief.Source(from), all) {
+					module.Handle(now, l)
+				}
+			}
+			b.ResetTimer()
+			for i := range b.N {
+				now += time.Millisecond
+				x := all[i*7919%n]
+				x.State = belief.Draining
+				if i%2 == 1 {
+					x = all[(i-1)*7919%n]
+				}
+				for _, l := range book.Changes(now, belief.Etcd, []belief.Statement{x}) {
+					module.Handle(now, l)
+				}
+			}
+		})
+	}
+}
--- a/honeyplank.go
+++ b/honeyplank.go
@@ -63,6 +63,7 @@
 	Whole                      // replaces the list held
 	Remembered                 // the whole list as last seen, perhaps stale
 	Refused                    // a watch or fetch failed or a watch ended; no entries
+	Aside                      // changes from elsewhere than the watch, which they say nothing of
 )
 
 // Member is a disk server as the list knows it.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,7 +32,7 @@
 	return &Scheduler{
 		set: settings, rng: rand.New(rand.NewSource(seed)),
 		osds: map[honeyplank.OSDID]*osd{}, ops: map[honeyplank.OpID]*op{},
-		volumes: map[int64]*volume{}, keys: map[int64]*key{},
+		volumes: map[int64]*volume{}, keys: map[int64]*key{}, holders: map[int][]*osd{},
 		patient: make([]time.Duration, len(get[[]time.Duration](settings, "optypes.op_timeout"))),
 	}
 }
@@ -97,9 +97,11 @@
 	case honeyplank.Changes, honeyplank.Whole:
 		s.watched, s.backoff = true, 0
 	}
-	if l.Kind != honeyplank.Changes { // what a whole list leaves out is gone
+	changes := l.Kind == honeyplank.Changes || l.Kind == honeyplank.Aside
+	if !changes { // what a whole list leaves out is gone
 		s.allGone()
 	}
+	touched := make([]*osd, 0, len(l.Members))
 	for _, m := range l.Members {
 		o := s.osds[m.OSD]
 		if o == nil { // what was sent to it before this instance started is unknown: that counts as too much
@@ -108,20 +110,27 @@
 		if m.Started > o.Started {
 			s.judge(o, inBorn)
 		}
-		o.Member = m
+		s.place(o, m)
+		touched = append(touched, o)
 	}
-	s.survey()
-	s.move()
+	if !changes {
+		touched = s.order
+	}
+	stopped(touched)
+	s.move(touched)
 }
 
-// move finds a place for ops that have none and sends what may leave.
-func (s *Scheduler) move() {
+// move finds a place for ops that have none and sends what may leave, from some servers and from where it
+// found one: after a change only there, since the rest is looked at with the next sweep.
+func (s *Scheduler) move(from []*osd) {
 	for _, p := range s.held {
 		if p.osd == nil {
-			s.house(p)
+			if s.house(p); p.osd != nil && len(from) < len(s.order) {
+				from = append(from, p.osd)
+			}
 		}
 	}
-	for _, o := range s.order {
+	for _, o := range from {
 		if o.holding > 0 {
 			s.pump(o)
 		}
@@ -732,7 +741,7 @@
 			s.judge(o, inTime)
 		}
 	}
-	s.move()
+	s.move(s.order)
 	for _, p := range append([]*op(nil), s.held...) {
 		if s.useless(p) {
 			s.answer(p)
--- a/policy/state.go
+++ b/policy/state.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"math"
 	"math/rand"
+	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -17,6 +18,7 @@
 // osd is the one record of a disk server.
 type osd struct {
 	honeyplank.Member
+	placed  bool // counted among those that run
 	health  health
 	since   time.Duration // start of the present health state
 	rest    time.Duration // how long it is left alone once down
@@ -429,14 +431,44 @@
 // add takes up the record of a disk server.
 func (s *Scheduler) add(o *osd) *osd {
 	s.osds[o.OSD] = o
-	s.order = append(s.order, o)
-	sort.Slice(s.order, func(i, j int) bool { return s.order[i].OSD < s.order[j].OSD })
+	s.order = insert(s.order, o)
 	return o
 }
 
+// insert puts a disk server into a list kept by id.
+func insert(list []*osd, o *osd) []*osd {
+	i := sort.Search(len(list), func(i int) bool { return list[i].OSD >= o.OSD })
+	return slices.Insert(list, i, o)
+}
+
+// place notes what the list says of a disk server, and with it who holds what and how many run. The work does
+// not grow with the fleet.
+func (s *Scheduler) place(o *osd, m honeyplank.Member) {
+	if o.placed {
+		s.running--
+		s.holders[o.Cell] = without(s.holders[o.Cell], o)
+	}
+	o.Member, o.placed = m, m.State == honeyplank.On
+	if o.placed {
+		s.running++
+		s.holders[o.Cell] = insert(s.holders[o.Cell], o)
+	}
+}
+
+// stopped takes from disk servers that do not run what is held for them.
+func stopped(list []*osd) {
+	for _, o := range list {
+		if !o.placed {
+			o.unhouse()
+		}
+	}
+}
+
 func (s *Scheduler) allGone() {
 	for _, o := range s.order {
-		o.State = honeyplank.Gone
+		m := o.Member
+		m.State = honeyplank.Gone
+		s.place(o, m)
 	}
 }
 
@@ -454,19 +486,6 @@
 	}
 }
 
-// survey notes who holds what and how many run; what has stopped holds nothing more.
-func (s *Scheduler) survey() {
-	s.running, s.holders = 0, map[int][]*osd{}
-	for _, o := range s.order {
-		if o.State == honeyplank.On {
-			s.running++
-			s.holders[o.Cell] = append(s.holders[o.Cell], o)
-		} else {
-			o.unhouse()
-		}
-	}
-}
-
 // line puts an op at the end of its key's line.
 func (s *Scheduler) line(p *op) {
 	k := s.keys[p.Key]
