DNS SRV as a source beside etcd: one book of belief feeds the module

Need: installations that tell of storage nodes in DNS; when DNS and etcd disagree one rule decides.

Change: a resolver source on a DNS library (lifetimes with floor and ceiling, TCP when truncated, ids and questions checked, several servers in turn, negative answers told apart from failures, drawn pauses), a stand-in name server, settings for both, and the book between sources and module. DNS changes reach the module as Aside, so that they say nothing of a broken etcd watch.

Measured: tests cause every fault of a name server; the answers that a library reads only in part are caught by the check of the question.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"honeyplank"
+	"honeyplank/belief"
 	"honeyplank/loop"
 	"honeyplank/members"
 	"honeyplank/nvme"
@@ -47,7 +48,11 @@
 	loop   *loop.Loop
 	module Module
 	server *target.Server
-	source *members.Etcd
+	etcd   *members.Etcd // nil: not a source
+	dns    *members.DNS
+	ask    func() // starts asking DNS; nil: not a source
+	book   *belief.Book
+	ticker *loop.Timer // for what time alone changes in the book
 	log    zerolog.Logger
 
 	queue   []honeyplank.Event
@@ -128,11 +133,28 @@
 		return nil, fmt.Errorf("gateway: %s: %w", s.Listen.Address, err)
 	}
 	g.server.Patience = func(c *target.Command) time.Duration { return g.patience(c) }
-	var endpoints []string
-	for _, e := range s.List.Etcd {
-		endpoints = append(endpoints, e.Endpoint)
+	terms := belief.Terms{Vanish: 1} // one source alone is believed
+	if t := s.List.Believe; t != nil {
+		terms = belief.Terms{Vanish: t.Vanish, Confirm: t.Confirm.D(), Calm: t.Calm.D(), Flaps: t.Flaps, Hold: t.Hold.D()}
+	}
+	g.book = belief.New(terms)
+	hear := func(from belief.Source) func(members.News) {
+		return func(n members.News) { l.Post(func() { g.news(from, n) }) }
+	}
+	if len(s.List.Etcd) > 0 {
+		var endpoints []string
+		for _, e := range s.List.Etcd {
+			endpoints = append(endpoints, e.Endpoint)
+		}
+		g.etcd = members.New(endpoints, s.List.Prefix, s.Listen.Host, s.List.AskWithin.D(), hear(belief.Etcd))
+	}
+	if d := s.List.DNS; d != nil {
+		terms := members.DNSTerms{Name: d.Name, Floor: d.Floor.D(), Ceiling: d.Ceiling.D(), Timeout: d.Timeout.D(), Seed: o.Seed}
+		for _, x := range d.Servers {
+			terms.Servers = append(terms.Servers, x.Address)
+		}
+		g.ask = func() { g.dns = members.NewDNS(terms, hear(belief.DNS)) }
 	}
-	g.source = members.New(endpoints, s.List.Prefix, s.Listen.Host, s.List.AskWithin.D(), func(n members.News) { l.Post(func() { g.news(n) }) })
 	return g, nil
 }
 
@@ -166,8 +188,16 @@
 	defer stop()
 	// An empty list as last seen starts the module, which asks for the watch.
 	g.loop.Post(func() { g.tell(honeyplank.List{Kind: honeyplank.Remembered}) })
+	if g.ask != nil {
+		g.ask()
+	}
 	err := g.loop.Run()
-	g.source.Close()
+	if g.etcd != nil {
+		g.etcd.Close()
+	}
+	if g.dns != nil {
+		g.dns.Close()
+	}
 	return err
 }
 
@@ -242,7 +272,9 @@
 	g.log.Info().Int("open", len(g.open())).Msg("no more ops are taken")
 	g.settled = func() {
 		g.settled = nil
-		g.source.Watch(false)
+		if g.etcd != nil {
+			g.etcd.Watch(false)
+		}
 		for _, d := range g.disks {
 			if d.link != nil {
 				d.link.Close()
@@ -317,9 +349,15 @@
 	case honeyplank.Log:
 		g.log.Warn().Msg(a.Text)
 	case honeyplank.Watch:
-		g.source.Watch(a.On)
+		if g.etcd != nil {
+			g.etcd.Watch(a.On)
+		} else if a.On { // DNS has no watch to break: it is asked all the time
+			g.tell(honeyplank.List{Kind: honeyplank.Changes})
+		}
 	case honeyplank.Fetch:
-		g.source.Fetch()
+		if g.etcd != nil {
+			g.etcd.Fetch()
+		}
 	case honeyplank.SetTimer:
 		g.loop.AtTime(a.At, func() { g.tell(honeyplank.Timer{Name: a.Name}) })
 	}
@@ -340,29 +378,112 @@
 
 // ---- The list ----
 
-func (g *Instance) news(n members.News) {
+// news carries what a source heard to the book, and what the book makes of it to the module.
+func (g *Instance) news(from belief.Source, n members.News) {
 	for _, text := range n.Skipped {
-		g.log.Warn().Str("why", text).Msg("a list entry is passed over")
-	}
-	if n.Err != nil {
-		g.log.Warn().Err(n.Err).Msg("the list can't be followed")
+		g.log.Warn().Stringer("source", from).Str("why", text).Msg("a list entry is passed over")
 	}
-	list := honeyplank.List{Kind: n.Kind, Version: n.Revision}
+	var all []belief.Statement
 	for _, node := range n.Nodes {
-		m := honeyplank.Member{OSD: honeyplank.OSDID(node.Address), Size: max(node.Size, 0), Model: node.Model, Zone: node.Zone, Cell: node.Cell}
-		if node.StartedMS > 0 { // a clock that runs ahead there must not put a start into the future
-			m.Started = max(min(g.loop.Span(time.UnixMilli(node.StartedMS)), g.loop.Now()), 0)
+		all = append(all, g.statement(node))
+	}
+	now := g.loop.Now()
+	var lists []honeyplank.List
+	switch n.Kind {
+	case honeyplank.Refused:
+		g.log.Warn().Stringer("source", from).Err(n.Err).Msg("the list can't be followed")
+		g.book.Failed(now, from)
+		if from == belief.Etcd {
+			g.tell(honeyplank.List{Kind: honeyplank.Refused})
+		}
+		return
+	case honeyplank.Whole:
+		lists = g.book.Whole(now, from, all)
+	default:
+		lists = g.book.Changes(now, from, all)
+	}
+	if from == belief.Etcd && len(lists) == 0 { // nothing new, but the watch stands
+		lists = []honeyplank.List{{Kind: honeyplank.Changes}}
+	}
+	g.believe(lists, from == belief.Etcd || g.etcd == nil)
+}
+
+// statement is what a node's entry says. A clock that runs ahead there must not put a start into the future.
+func (g *Instance) statement(node members.Node) belief.Statement {
+	s := belief.Statement{State: belief.On, Member: honeyplank.Member{OSD: honeyplank.OSDID(node.Address), Size: node.Size, Model: node.Model, Zone: node.Zone, Cell: node.Cell}}
+	if node.StartedMS > 0 {
+		s.Member.Started = max(min(g.loop.Span(time.UnixMilli(node.StartedMS)), g.loop.Now()), 0)
+	}
+	switch {
+	case node.Gone:
+		s.State = belief.Gone
+	case node.State == "draining":
+		s.State = belief.Draining
+	}
+	return s
+}
+
+// believe tells the module of what has changed in the book; watch tells whether that speaks of the watch too.
+func (g *Instance) believe(lists []honeyplank.List, watch bool) {
+	for _, l := range lists {
+		if !watch {
+			l.Kind = honeyplank.Aside
 		}
-		switch {
-		case node.Gone:
-			m.State = honeyplank.Gone
-		case node.State == "draining":
-			m.State = honeyplank.Draining
+		for _, m := range l.Members {
+			if v, _ := g.book.View(m.OSD); m.State != honeyplank.On || v.Cause != belief.Agreed {
+				g.log.Info().Str("osd", string(m.OSD)).Stringer("believed", v.Believed).Stringer("cause", v.Cause).
+					Stringer("etcd", v.Says[belief.Etcd]).Stringer("dns", v.Says[belief.DNS]).Msg("the list of disk servers")
+			}
 		}
-		if m.State != honeyplank.On {
-			g.log.Info().Str("osd", node.Address).Bool("gone", node.Gone).Int64("revision", n.Revision).Msg("the list takes a disk server out")
+		g.tell(l)
+	}
+	g.loop.Cancel(g.ticker)
+	if at := g.book.Next(); at > 0 {
+		g.ticker = g.loop.AtTime(at, func() { g.believe(g.book.Tick(g.loop.Now()), false) })
+	}
+}
+
+// Node is what is believed of a disk server, why, and what each source says. Times are ages.
+type Node struct {
+	OSD      string `json:"osd"`
+	Cell     int    `json:"cell"`
+	Believed string `json:"believed"`
+	Cause    string `json:"cause"`
+	Since    string `json:"since"`
+	Etcd     string `json:"etcd"`
+	DNS      string `json:"dns"`
+}
+
+// Nodes asks the loop what is believed of each disk server, by address.
+func (g *Instance) Nodes() (list []Node, ok bool) {
+	answer := make(chan []Node, 1)
+	if !g.loop.Post(func() {
+		var list []Node
+		ids := g.book.Nodes()
+		slices.Sort(ids)
+		now := g.loop.Now()
+		for _, id := range ids {
+			v, _ := g.book.View(id)
+			says := func(s belief.Source) string {
+				if v.Says[s] == belief.Never {
+					return v.Says[s].String()
+				}
+				text := fmt.Sprintf("%v for %v", v.Says[s], (now - v.Told[s]).Round(time.Second))
+				if v.Doubted[s] {
+					text += ", vanished"
+				}
+				return text
+			}
+			list = append(list, Node{string(id), v.Member.Cell, v.Believed.String(), v.Cause.String(), (now - v.Since).Round(time.Second).String(), says(belief.Etcd), says(belief.DNS)})
 		}
-		list.Members = append(list.Members, m)
+		answer <- list
+	}) {
+		return nil, false
+	}
+	select {
+	case list = <-answer:
+		return list, true
+	case <-g.done:
+		return nil, false
 	}
-	g.tell(list)
 }
--- /dev/null
+++ b/members/dns.go
@@ -0,0 +1,287 @@
+package members
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand"
+
+	"net/netip"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/miekg/dns"
+
+	"honeyplank"
+)
+
+// DNSTerms say whom to ask for what. docs/dns.md gives the convention of the records.
+type DNSTerms struct {
+	Servers []string // name servers, asked in turn
+	Name    string   // owner of the SRV records
+	Floor   time.Duration
+	Ceiling time.Duration // bounds of a record's lifetime, whatever it says
+	Timeout time.Duration // for one exchange
+	Seed    int64         // of the jitter
+}
+
+// DNS is the list in DNS. News comes on its own goroutine, in order, and none after Close: Whole for an answer,
+// also a negative one, Refused for a failure. What was known then still holds; that is for its hearer to keep.
+type DNS struct {
+	t       DNSTerms
+	tell    func(News)
+	rng     *rand.Rand
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+	first   int // the server asked first: the one that answered last
+	Queries int // sent so far; read after Close
+}
+
+// NewDNS starts asking.
+func NewDNS(t DNSTerms, tell func(News)) *DNS {
+	t.Name = dns.Fqdn(t.Name)
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &DNS{t: t, tell: tell, rng: rand.New(rand.NewSource(t.Seed)), cancel: cancel}
+	d.running.Add(1)
+	go func() {
+		defer d.running.Done()
+		d.run(ctx)
+	}()
+	return d
+}
+
+// Close ends it and waits for the exchange under way.
+func (d *DNS) Close() {
+	d.cancel()
+	d.running.Wait()
+}
+
+// run asks, tells, and asks again when the shortest lifetime in the answer is over, or soon after a failure,
+// ever later. Each pause is drawn, so that many schedulers do not ask at once: from three quarters of the
+// lifetime to all of it.
+func (d *DNS) run(ctx context.Context) {
+	pause := time.Duration(0)
+	for {
+		news, life := d.ask(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		d.tell(news)
+		if news.Err != nil {
+			pause = min(max(2*pause, d.t.Floor), d.t.Ceiling)
+		} else {
+			pause = 0
+		}
+		wait := time.NewTimer(d.jitter(max(life, pause, d.t.Floor)))
+		select {
+		case <-ctx.Done():
+			wait.Stop()
+			return
+		case <-wait.C:
+		}
+	}
+}
+
+func (d *DNS) jitter(span time.Duration) time.Duration {
+	return span - time.Duration(d.rng.Float64()*float64(span)/4)
+}
+
+// errNegative tells that a name has no such records; life is for how long that may be believed.
+type errNegative struct{ life uint32 }
+
+func (errNegative) Error() string { return "there are no such records" }
+
+// ask gets the list from the first server that gives one.
+func (d *DNS) ask(ctx context.Context) (News, time.Duration) {
+	var all error
+	for i := range d.t.Servers {
+		n := (d.first + i) % len(d.t.Servers)
+		news, life, err := d.list(ctx, d.t.Servers[n])
+		if err == nil {
+			d.first = n
+			return news, min(max(time.Duration(life)*time.Second, d.t.Floor), d.t.Ceiling)
+		}
+		all = errors.Join(all, fmt.Errorf("members: %s asked for %s: %w", d.t.Servers[n], d.t.Name, err))
+	}
+	return News{Kind: honeyplank.Refused, Err: all}, 0
+}
+
+// list gets the SRV records and the addresses of their targets from one server, with the shortest lifetime.
+func (d *DNS) list(ctx context.Context, server string) (News, uint32, error) {
+	news := News{Kind: honeyplank.Whole}
+	m, err := d.exchange(ctx, server, d.t.Name, dns.TypeSRV)
+	var negative errNegative
+	if errors.As(err, &negative) { // an answer: there is none
+		return news, negative.life, nil
+	}
+	if err != nil {
+		return news, 0, err
+	}
+	life := ^uint32(0)
+	addresses := map[string][]netip.Addr{} // by target, from the additional section
+	for _, rr := range m.Extra {
+		d.address(rr, addresses, &life)
+	}
+	var found []srv
+	for _, rr := range m.Answer {
+		r, ok := rr.(*dns.SRV)
+		if !ok {
+			continue
+		}
+		life = min(life, r.Hdr.Ttl)
+		target := strings.ToLower(r.Target)
+		s, err := parseTarget(target, r)
+		if err != nil {
+			news.Skipped = append(news.Skipped, err.Error())
+			continue
+		}
+		if addresses[target] == nil {
+			a, err := d.exchange(ctx, server, target, dns.TypeA)
+			switch {
+			case errors.As(err, &negative):
+				life = min(life, negative.life)
+				news.Skipped = append(news.Skipped, "members: "+target+" has no IPv4 address")
+				continue
+			case err != nil: // one address is missing: the whole answer is no better
+				return news, 0, err
+			}
+			for _, rr := range a.Answer {
+				d.address(rr, map[string][]netip.Addr{}, &life)
+				if r, ok := rr.(*dns.A); ok { // whatever alias led to it
+					if ip, ok := netip.AddrFromSlice(r.A.To4()); ok {
+						addresses[target] = append(addresses[target], ip)
+					}
+				}
+			}
+		}
+		for _, ip := range addresses[target] {
+			s.node.Address = netip.AddrPortFrom(ip, r.Port).String()
+			found = append(found, s)
+			break // one target is one server
+		}
+	}
+	news.Nodes = lowest(found)
+	return news, life, nil
+}
+
+func (d *DNS) address(rr dns.RR, into map[string][]netip.Addr, life *uint32) {
+	r, ok := rr.(*dns.A)
+	if !ok {
+		return
+	}
+	if ip, ok := netip.AddrFromSlice(r.A.To4()); ok {
+		name := strings.ToLower(r.Hdr.Name)
+		into[name] = append(into[name], ip)
+		*life = min(*life, r.Hdr.Ttl)
+	}
+}
+
+// exchange asks one server one question: over UDP, and over TCP when the answer is truncated. An answer that
+// is to another question, or makes no sense, is a failure; one that says there is nothing is errNegative.
+func (d *DNS) exchange(ctx context.Context, server, name string, kind uint16) (*dns.Msg, error) {
+	q := new(dns.Msg)
+	q.SetQuestion(name, kind)
+	q.SetEdns0(1232, false)
+	var m *dns.Msg
+	for _, network := range []string{"udp", "tcp"} {
+		call, cancel := context.WithTimeout(ctx, d.t.Timeout)
+		c := &dns.Client{Net: network, Timeout: d.t.Timeout, UDPSize: 1232}
+		var err error
+		d.Queries++
+		m, _, err = c.ExchangeContext(call, q, server) // ids are compared there
+		cancel()
+		if err != nil {
+			return nil, fmt.Errorf("over %s: %w", network, err)
+		}
+		if !m.Truncated {
+			break
+		}
+	}
+	switch {
+	case m.Truncated:
+		return nil, errors.New("truncated over TCP too")
+	case !m.Response || m.Opcode != dns.OpcodeQuery || len(m.Question) != 1:
+		return nil, errors.New("no answer to a question")
+	case !strings.EqualFold(m.Question[0].Name, name) || m.Question[0].Qtype != kind || m.Question[0].Qclass != dns.ClassINET:
+		return nil, fmt.Errorf("an answer to another question, %s", m.Question[0].String())
+	case m.Rcode != dns.RcodeSuccess && m.Rcode != dns.RcodeNameError:
+		return nil, errors.New("it says " + dns.RcodeToString[m.Rcode])
+	}
+	owner, answers := strings.ToLower(name), m.Answer[:0:0]
+	for range 8 { // aliases, in whatever order they stand
+		alias := ""
+		for _, rr := range m.Answer {
+			h := rr.Header()
+			if h.Class != dns.ClassINET || !strings.EqualFold(h.Name, owner) {
+				continue
+			}
+			if h.Rrtype == kind {
+				answers = append(answers, rr)
+			} else if c, ok := rr.(*dns.CNAME); ok {
+				alias = strings.ToLower(c.Target)
+			}
+		}
+		if alias == "" || len(answers) > 0 {
+			break
+		}
+		owner = alias
+	}
+	if m.Rcode == dns.RcodeSuccess && len(answers) > 0 {
+		m.Answer = answers
+		return m, nil
+	}
+	for _, rr := range m.Ns { // RFC 2308: a negative answer carries the SOA, which tells its lifetime
+		if soa, ok := rr.(*dns.SOA); ok {
+			return nil, errNegative{min(soa.Hdr.Ttl, soa.Minttl)}
+		}
+	}
+	return nil, errors.New("an empty answer without an SOA")
+}
+
+// srv is a record of the list with its priority.
+type srv struct {
+	node     Node
+	priority uint16
+}
+
+var targetLabel = regexp.MustCompile(`^[a-z0-9-]*--c([0-9]{1,6})(?:-z([0-9]{1,4}))?(?:-t([0-9]{1,12}))?$`)
+
+// parseTarget reads what a record and the first label of its target tell of a node.
+func parseTarget(target string, r *dns.SRV) (s srv, err error) {
+	label, _, _ := strings.Cut(target, ".")
+	part := targetLabel.FindStringSubmatch(label)
+	if part == nil || r.Port == 0 {
+		return s, fmt.Errorf("members: target %.80s:%d names no cell", target, r.Port)
+	}
+	s.priority = r.Priority
+	s.node.State, s.node.Size = "on", float64(r.Weight)
+	if r.Weight == 0 {
+		s.node.State = "draining"
+	}
+	s.node.Cell, _ = strconv.Atoi(part[1])
+	s.node.Zone, _ = strconv.Atoi(part[2])
+	started, _ := strconv.ParseInt(part[3], 10, 64)
+	s.node.StartedMS = 1000 * started
+	return s, nil
+}
+
+// lowest keeps of each cell the records of the lowest priority that are on, and all that drain.
+func lowest(all []srv) (nodes []Node) {
+	least := map[int]uint16{}
+	for _, s := range all {
+		if p, ok := least[s.node.Cell]; s.node.State == "on" && (!ok || s.priority < p) {
+			least[s.node.Cell] = s.priority
+		}
+	}
+	seen := map[string]bool{}
+	for _, s := range all {
+		if (s.node.State != "on" || s.priority == least[s.node.Cell]) && !seen[s.node.Address] {
+			seen[s.node.Address] = true
+			nodes = append(nodes, s.node)
+		}
+	}
+	return nodes
+}
--- /dev/null
+++ b/members/dns_test.go
@@ -0,0 +1,155 @@
+package members
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	mdns "github.com/miekg/dns"
+
+	"honeyplank"
+	"honeyplank/standin/dns"
+)
+
+const zone = "_honeyplank._tcp.storage.example."
+
+func nodes(n int) (list []dns.Record) {
+	for i := range n {
+		list = append(list, dns.Record{Target: fmt.Sprintf("n%d--c%d-z%d-t%d.storage.example.", i, i, i%3, 1000+i), IP: "127.0.0.1", Port: uint16(7000 + i), Weight: 2})
+	}
+	return list
+}
+
+// resolve starts name servers and a source that asks them in turn.
+func resolve(t *testing.T, n int, change func(*DNSTerms)) ([]*dns.Server, chan News) {
+	t.Helper()
+	terms := DNSTerms{Name: zone, Floor: 50 * time.Millisecond, Ceiling: 400 * time.Millisecond, Timeout: 200 * time.Millisecond, Seed: 1}
+	var servers []*dns.Server
+	for range n {
+		s, err := dns.New(zone)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s.Close)
+		s.Set(0, nodes(3))
+		servers, terms.Servers = append(servers, s), append(terms.Servers, s.Address())
+	}
+	if change != nil {
+		change(&terms)
+	}
+	out := make(chan News, 1000)
+	d := NewDNS(terms, func(n News) { out <- n })
+	t.Cleanup(d.Close)
+	return servers, out
+}
+
+// TestAnswers has a name server answer in every way that it should and should not: what fails is a failure with
+// its reason, what is truly nothing is an answer.
+func TestAnswers(t *testing.T) {
+	servers, news := resolve(t, 1, nil)
+	s := servers[0]
+	for _, c := range []struct {
+		name   string
+		faults dns.Faults
+		count  int    // nodes
+		says   string // of a failure
+	}{
+		{"as it should be", dns.Faults{}, 3, ""},
+		{"truncated over UDP", dns.Faults{Truncate: true}, 3, ""},
+		{"without addresses", dns.Faults{Bare: true}, 3, ""},
+		{"truncated over UDP, no TCP", dns.Faults{Truncate: true, NoTCP: true}, 0, "over tcp"},
+		{"SERVFAIL", dns.Faults{Rcode: mdns.RcodeServerFailure}, 0, "SERVFAIL"},
+		{"REFUSED", dns.Faults{Rcode: mdns.RcodeRefused}, 0, "REFUSED"},
+		{"silent", dns.Faults{Silent: true}, 0, "over udp"},
+		{"malformed", dns.Faults{Malformed: true}, 0, "another question"}, // what could be read of it
+		{"another id", dns.Faults{WrongID: true}, 0, "over udp"},
+		{"another question", dns.Faults{Other: true}, 0, "another question"},
+		{"empty by mistake", dns.Faults{Empty: true}, 0, "without an SOA"},
+		{"truly nothing", dns.Faults{None: true}, 0, ""},
+	} {
+		s.Fault(c.faults)
+		for range 2 { // what was under way when the fault came
+			select {
+			case <-news:
+			case <-time.After(2 * time.Second):
+				t.Fatalf("%s: no news", c.name)
+			}
+		}
+		n := <-news
+		if c.says != "" && (n.Kind != honeyplank.Refused || n.Err == nil || !strings.Contains(n.Err.Error(), c.says)) {
+			t.Errorf("%s: %v, want %q", c.name, n.Err, c.says)
+		}
+		if c.says == "" && (n.Kind != honeyplank.Whole || len(n.Nodes) != c.count) {
+			t.Errorf("%s: kind %d, %d nodes, %v", c.name, n.Kind, len(n.Nodes), n.Err)
+		}
+	}
+}
+
+// TestConvention reads what records tell: cell, zone, start, drain, and which of a cell's servers comes first.
+func TestConvention(t *testing.T) {
+	servers, news := resolve(t, 1, nil)
+	<-news
+	servers[0].Set(1, []dns.Record{
+		{Target: "a--c4-z2-t1700000000.x.", IP: "127.0.0.1", Port: 1, Weight: 3},
+		{Target: "b--c4.x.", IP: "127.0.0.1", Port: 2, Weight: 1, Priority: 9}, // stands by for a
+		{Target: "c--c5.x.", IP: "127.0.0.1", Port: 3, Weight: 0},              // drains
+		{Target: "d--c5.x.", IP: "127.0.0.1", Port: 4, Weight: 1, Priority: 9},
+		{Target: "nocell.x.", IP: "127.0.0.1", Port: 5, Weight: 1},
+		{Target: "e--c6.x.", Port: 6, Weight: 1}, // has no address
+	})
+	var n News
+	for range 3 {
+		n = <-news
+	}
+	got := ""
+	for _, x := range n.Nodes {
+		got += fmt.Sprintf("%s %s c%d z%d t%d; ", x.Address, x.State, x.Cell, x.Zone, x.StartedMS)
+	}
+	want := "127.0.0.1:1 on c4 z2 t1700000000000; 127.0.0.1:3 draining c5 z0 t0; 127.0.0.1:4 on c5 z0 t0; "
+	if got != want || len(n.Skipped) != 2 {
+		t.Errorf("%s\nwant %s\nskipped %v", got, want, n.Skipped)
+	}
+}
+
+// TestTurns has the first server fail: the second is asked, and stays the first while it answers.
+func TestTurns(t *testing.T) {
+	servers, news := resolve(t, 2, nil)
+	<-news
+	servers[0].Fault(dns.Faults{Rcode: mdns.RcodeServerFailure})
+	for range 5 {
+		if n := <-news; n.Err != nil {
+			t.Fatal(n.Err)
+		}
+	}
+	was := servers[0].Queries()
+	for range 5 {
+		<-news
+	}
+	if now := servers[0].Queries(); now != was {
+		t.Errorf("the failing server was asked %d times more", now-was)
+	}
+}
+
+// TestLifetimes gives lifetimes of nothing and of a week: the floor and the ceiling hold, and asking is drawn out.
+func TestLifetimes(t *testing.T) {
+	for ttl, want := range map[uint32][2]time.Duration{0: {35 * time.Millisecond, 50 * time.Millisecond}, 7 * 24 * 3600: {300 * time.Millisecond, 400 * time.Millisecond}} {
+		servers, news := resolve(t, 1, nil)
+		servers[0].Set(ttl, nodes(2))
+		<-news
+		<-news
+		seen := map[time.Duration]bool{}
+		for range 5 {
+			began := time.Now()
+			<-news
+			took := time.Since(began)
+			seen[took.Round(time.Millisecond)] = true
+			if took < want[0] || took > want[1]+50*time.Millisecond {
+				t.Errorf("lifetime %d s: asked again after %v, want %v to %v", ttl, took, want[0], want[1])
+			}
+		}
+		if len(seen) < 2 {
+			t.Error("no jitter")
+		}
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -75,8 +75,10 @@
 		Etcd []struct {
 			Endpoint string `xml:"endpoint,attr"`
 		} `xml:"etcd"`
-		Prefix    string `xml:"prefix,attr"`
-		AskWithin Span   `xml:"ask-within,attr"`
+		DNS       *NameService `xml:"dns"`
+		Believe   *Believe     `xml:"believe"`
+		Prefix    string       `xml:"prefix,attr"`
+		AskWithin Span         `xml:"ask-within,attr"`
 	} `xml:"list"`
 	Scheduler struct {
 		Hosts   int  `xml:"hosts,attr"`
@@ -108,6 +110,26 @@
 	Rehearsal   *Rehearsal  `xml:"rehearsal"`
 }
 
+// NameService is the list in DNS: docs/dns.md.
+type NameService struct {
+	Servers []struct {
+		Address string `xml:"address,attr"`
+	} `xml:"server"`
+	Name    string `xml:"name,attr"`
+	Floor   Span   `xml:"floor,attr"`
+	Ceiling Span   `xml:"ceiling,attr"`
+	Timeout Span   `xml:"timeout,attr"`
+}
+
+// Believe holds the figures of the rule whom to believe: docs/sources.md.
+type Believe struct {
+	Vanish  float64 `xml:"vanish,attr"`
+	Confirm Span    `xml:"confirm,attr"`
+	Calm    Span    `xml:"calm,attr"`
+	Flaps   int     `xml:"flaps,attr"`
+	Hold    Span    `xml:"hold,attr"`
+}
+
 // OpType is an op type, and which commands are of it: opcode and a range of lengths, From to To included.
 type OpType struct {
 	Name          string  `xml:"name,attr"`
@@ -308,8 +330,12 @@
 		{g.Rules.Cold == nil || g.Rules.Cold.From > 0 && g.Rules.Cold.Window > 0, rules, "cold has from or window 0", "leave the element out where servers start warm"},
 		{g.Rules.Budget == nil || g.Rules.Budget.Window > 0, rules, "budget has window 0", "leave the element out where there is no budget"},
 		{g.List.AskWithin > 0, one("list"), "ask-within is 0", "such as 10s"},
+		{len(g.List.Etcd) > 0 || g.List.DNS != nil, one("list"), "the list has no source", "etcd, dns, or both"},
+		{g.List.DNS == nil || g.List.Believe != nil, one("list"), "dns stands without a believe", "with two sources the rule needs its figures"},
+		{g.List.DNS == nil || g.List.DNS.Floor > 0 && g.List.DNS.Floor <= g.List.DNS.Ceiling && g.List.DNS.Timeout > 0, one("list"), "dns has floor or timeout 0, or a floor over its ceiling", "such as floor 1s, ceiling 30s, timeout 500ms"},
 	}
 	addresses := append([]*node{one("listen")}, root.pick("list/etcd")...)
+	addresses = append(addresses, root.pick("list/dns/server")...)
 	for _, n := range addresses {
 		text := n.attributes["address"] + n.attributes["endpoint"]
 		_, err := netip.ParseAddrPort(text)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -34,6 +34,9 @@
 	{"a bare point", `weight="2"`, `weight="2."`, true, 0},
 	{"a sign", `hosts="2"`, `hosts="+2"`, true, 0},
 	{"true as 1", `ordered="true"`, `ordered="1"`, true, 0},
+	{"DNS beside etcd", `</list>`, `<dns name="_h._tcp.x." floor="1s" ceiling="9s" timeout="1s"><server address="127.0.0.1:53"/></dns><believe vanish="0.5" confirm="9s" calm="60s" flaps="3" hold="5s"/></list>`, true, 0},
+	{"DNS of no domain", `</list>`, `<dns name="x" floor="1s" ceiling="9s" timeout="1s"><server address="127.0.0.1:53"/></dns></list>`, false, 3},
+	{"DNS without a server", `</list>`, `<dns name="_h._tcp.x." floor="1s" ceiling="9s" timeout="1s"/></list>`, false, 3},
 	{"unknown element", `<scheduler `, `<shceduler `, false, 4},
 	{"unknown attribute", `<scheduler hosts`, `<scheduler host="1" hosts`, false, 4},
 	{"attribute missing", `<scheduler hosts="2" `, `<scheduler `, false, 4},
@@ -113,6 +116,8 @@
 		{"ordinal", `ordinal="0"`, `ordinal="2"`, "ordinal"},
 		{"hosts of a volume", `cells="0 1 2"`, `cells="0 1 2" hosts="3"`, "more hosts"},
 		{"address", `127.0.0.1:4420`, `127.0.0.999:4420`, "no address"},
+		{"no source", `<etcd endpoint="127.0.0.1:2379"/>`, ``, "no source"},
+		{"no rule", `</list>`, `<dns name="_h._tcp.x." floor="1s" ceiling="9s" timeout="1s"><server address="127.0.0.1:53"/></dns></list>`, "without a believe"},
 		{"depth", `depth="128"`, `depth="2000"`, "depth"},
 		{"huge", `size="2GiB"`, `size="999999999TiB"`, "too large"},
 	} {
