Rehearsal of both sources misbehaving, judged source by source; honeyplank nodes

Need: no new work to a node more than 1 s after either source told of a drain, shown from the sockets.

The audit keeps what each source told apart. honeyplank nodes tells what is believed of each disk server and why.

--- a/audit/judge.go
+++ b/audit/judge.go
@@ -172,20 +172,30 @@
 		told[fmt.Sprint(t.gateway, " ", t.server)] = append(told[fmt.Sprint(t.gateway, " ", t.server)], t)
 	}
 	for _, d := range l.sends {
-		since, state := time.Duration(0), ""
+		out := map[string]toldRecord{} // by source, since it took the server out
 		for _, t := range told[fmt.Sprint(d.gateway, " ", d.server)] {
 			if t.at > d.at {
 				break
 			}
-			if t.state == "on" {
-				state = ""
-			} else if state == "" {
-				since, state = t.at, t.state
+			if was, is := out[t.source]; t.state != "on" && !is {
+				out[t.source] = t
+			} else if t.state == "on" {
+				delete(out, t.source)
+				for source, was := range out { // a newer start than the other source's word
+					if t.started > was.at {
+						delete(out, source)
+					}
+				}
+			} else if was.state != t.state && is {
+				was.state = t.state
+				out[t.source] = was
 			}
 		}
 		v.Checked++
-		if state != "" && d.at > since+grace+slack {
-			v.breach("%s was sent an op by gateway %d at %v, %v after that was told it is %s", d.server, d.gateway, d.at, d.at-since, state)
+		for source, t := range out {
+			if d.at > t.at+grace+slack {
+				v.breach("%s was sent an op by gateway %d at %v, %v after %s told that it is %s", d.server, d.gateway, d.at, d.at-t.at, source, t.state)
+			}
 		}
 	}
 }
--- a/audit/judge_test.go
+++ b/audit/judge_test.go
@@ -119,6 +119,14 @@
 			r.told = []toldRecord{{gateway: 0, server: "a", at: 0, state: "draining"}, {gateway: 0, server: "a", at: 900 * ms, state: "on"}}
 			r.send(r.op(0, nvme.Read, 1, 1, 1200*ms, 1300*ms, 0), "a", 1250*ms, 1260*ms, 0)
 		}},
+		"on again by the other source": {3, func(r run) {
+			r.told = []toldRecord{{server: "a", source: "dns", state: "gone"}, {server: "a", source: "etcd", at: 900 * ms, state: "on"}}
+			r.send(r.op(0, nvme.Read, 1, 1, 1200*ms, 1300*ms, 0), "a", 1250*ms, 1260*ms, 0)
+		}},
+		"a newer start by the other source": {0, func(r run) {
+			r.told = []toldRecord{{server: "a", source: "dns", at: ms, state: "gone"}, {server: "a", source: "etcd", at: 900 * ms, state: "on", started: 800 * ms}}
+			r.send(r.op(0, nvme.Read, 1, 1, 1200*ms, 1300*ms, 0), "a", 1250*ms, 1260*ms, 0)
+		}},
 		"told of the drain alone at another": {0, func(r run) {
 			r.told = []toldRecord{{gateway: 1, server: "a", at: 0, state: "draining"}}
 			r.send(r.op(0, nvme.Read, 1, 1, 1200*ms, 1300*ms, 0), "a", 1250*ms, 1260*ms, 0)
--- a/audit/record.go
+++ b/audit/record.go
@@ -59,6 +59,7 @@
 
 type toldRecord struct {
 	gateway int
+	source  string
 	server  string
 	at      time.Duration
 	state   string // on, draining, gone
@@ -80,12 +81,12 @@
 
 func (l *Log) now() time.Duration { return time.Since(l.start) }
 
-// Told notes what a gateway was told of a server: on, draining or gone; started is when it last started, zero
+// Told notes what a source told a gateway of a server: on, draining or gone; started is when it last started, zero
 // if long ago.
-func (l *Log) Told(gateway int, server, state string, started time.Time) {
+func (l *Log) Told(gateway int, source, server, state string, started time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r := toldRecord{gateway: gateway, server: server, at: l.now(), state: state}
+	r := toldRecord{gateway: gateway, source: source, server: server, at: l.now(), state: state}
 	if !started.IsZero() {
 		r.started = started.Sub(l.start)
 	}
--- a/cmd/honeyplank/main.go
+++ b/cmd/honeyplank/main.go
@@ -29,6 +29,7 @@
 	LogText  bool   `help:"Log lines for people instead of JSON."`
 
 	Serve    serveCommand    `cmd:"" help:"Run a gateway."`
+	Nodes    nodesCommand    `cmd:"" help:"Tell what a gateway of some settings believes of each disk server, and why."`
 	Settings settingsCommand `cmd:"" help:"Check and show settings."`
 	Rehearse rehearseCommand `cmd:"" help:"Play a bad day on stand-ins and judge the rules."`
 	Bench    benchCommand    `cmd:"" help:"Measure what the gateway costs, against stand-ins asked directly."`
@@ -111,6 +112,58 @@
 	return errors.Join(err, <-served)
 }
 
+type nodesCommand struct {
+	File  string        `arg:"" help:"Settings, as XML."`
+	Wait  time.Duration `help:"How long to listen to the sources first." default:"1s"`
+	Watch bool          `help:"Go on, and print the nodes whenever something has changed."`
+	JSON  bool          `help:"Print JSON lines."`
+}
+
+// Run listens to the sources as a gateway does that serves nobody.
+func (c *nodesCommand) Run() error {
+	s, err := read(c.File)
+	if err != nil {
+		return err
+	}
+	s.Listen.Address = "127.0.0.1:0"
+	g, err := gateway.New(gateway.Options{Settings: s, Seed: time.Now().UnixNano(), Log: zerolog.Nop()})
+	if err != nil {
+		return err
+	}
+	ctx, stop := signals()
+	defer stop()
+	go g.Serve(context.Background())
+	defer g.Kill()
+	seen := ""
+	for first := true; first || c.Watch; first = false {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(c.Wait):
+		}
+		list, _ := g.Nodes()
+		key := ""
+		for _, n := range list {
+			key += n.OSD + n.Believed + n.Cause
+		}
+		if key == seen && !first {
+			continue
+		}
+		seen = key
+		if c.JSON {
+			if err := json.NewEncoder(os.Stdout).Encode(list); err != nil {
+				return err
+			}
+			continue
+		}
+		fmt.Printf("%-22s %5s %-9s %-20s %-8s %-28s %s\n", "disk server", "cell", "believed", "cause", "since", "etcd says", "dns says")
+		for _, n := range list {
+			fmt.Printf("%-22s %5d %-9s %-20s %-8s %-28s %s\n", n.OSD, n.Cell, n.Believed, n.Cause, n.Since, n.Etcd, n.DNS)
+		}
+	}
+	return nil
+}
+
 type settingsCommand struct {
 	Check  checkCommand  `cmd:"" help:"Tell whether files are right."`
 	Show   showCommand   `cmd:"" help:"Print settings with what was left to defaults."`
@@ -155,7 +208,7 @@
 }
 
 type rehearseCommand struct {
-	Script   string `help:"Script to play instead of the built-in bad day."`
+	Script   string `help:"Script to play: badday and sources are built in, else a file." default:"badday"`
 	Seed     int64  `help:"Seed of all chance." default:"1"`
 	Trouble  string `help:"Play one kind of trouble on its own, or all of them one by one."`
 	Baseline bool   `help:"Have the gateways pass ops on in order of arrival, to measure against."`
@@ -164,8 +217,14 @@
 }
 
 func (c *rehearseCommand) Run(log zerolog.Logger) error {
-	script, err := settings.Parse("built-in script", rehearse.BadDay)
-	if c.Script != "" {
+	var script *settings.Gateway
+	var err error
+	switch c.Script {
+	case "badday":
+		script, err = settings.Parse("built-in script", rehearse.BadDay)
+	case "sources":
+		script, err = settings.Parse("built-in script", rehearse.Sources)
+	default:
 		script, err = read(c.Script)
 	}
 	if err != nil {
--- a/rehearse/baseline.go
+++ b/rehearse/baseline.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -72,29 +73,43 @@
 	"list-down":       {{Kind: "list-down"}, {Kind: "die", Count: 1}},
 	"reports-late":    {{Kind: "stale-reports", Count: 6}},
 	"gateway-restart": {{Kind: "gateway-restart"}},
+	"list-cut":        {{Kind: "list-cut"}, {Kind: "drain", Count: 1}},
+	"list-compacted":  {{Kind: "list-compacted", Count: 1}},
+	"list-mute":       {{Kind: "list-mute"}, {Kind: "drain", Count: 1}},
+	"re-register":     {{Kind: "re-register"}},
 	"clients-leave":   {{Kind: "clients-leave", Count: 3}},
 	"mute-handshake":  {{Kind: "mute-handshake", Count: 1}},
 	"cut":             {{Kind: "cut", Count: 6}},
 }
 
+// names are troubles of DNS, for scripts that have it.
+var names = map[string][]settings.Trouble{
+	"dns-down":      {{Kind: "dns-down"}, {Kind: "die", Count: 1}},
+	"dns-empty":     {{Kind: "dns-empty"}},
+	"dns-lies":      {{Kind: "dns-lies"}, {Kind: "list-down"}, {Kind: "die", Count: 1}},
+	"dns-truncated": {{Kind: "dns-truncated"}, {Kind: "drain", Count: 1}},
+	"dns-drain":     {{Kind: "dns-drain", Count: 2}},
+	"dns-stale":     {{Kind: "dns-stale", Count: 1}},
+}
+
 // Troubles makes a script for one kind of trouble on the fleet and traffic of a script, or for all.
 func Troubles(script *settings.Gateway, name string) (map[string]*settings.Gateway, []string, error) {
-	var names []string
-	for n := range single {
-		names = append(names, n)
+	all := maps.Clone(single)
+	if script.List.DNS != nil {
+		maps.Copy(all, names)
 	}
-	slices.Sort(names)
+	list := slices.Sorted(maps.Keys(all))
 	if name != "all" {
-		if single[name] == nil {
-			return nil, nil, fmt.Errorf("no trouble is called %q; there are all, %v", name, names)
+		if all[name] == nil {
+			return nil, nil, fmt.Errorf("no trouble is called %q; there are all, %v", name, list)
 		}
-		names = []string{name}
+		list = []string{name}
 	}
 	out := map[string]*settings.Gateway{}
-	for _, n := range names {
+	for _, n := range list {
 		s, r := *script, *script.Rehearsal
 		s.Rehearsal, r.Length, r.Troubles = &r, settings.Span(9*time.Second), nil
-		for _, t := range single[n] {
+		for _, t := range all[n] {
 			t.At, t.For = settings.Span(2*time.Second), settings.Span(2500*time.Millisecond)
 			if t.Plan != "" && s.Plan(t.Plan) < 0 {
 				t.Plan = ""
@@ -103,5 +118,5 @@
 		}
 		out[n] = &s
 	}
-	return out, names, nil
+	return out, list, nil
 }
--- a/rehearse/rehearse.go
+++ b/rehearse/rehearse.go
@@ -9,7 +9,9 @@
 	"encoding/json"
 	"fmt"
 	"math/rand"
+	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -23,6 +25,7 @@
 	"honeyplank/members"
 	"honeyplank/settings"
 	"honeyplank/standin/disk"
+	"honeyplank/standin/dns"
 	"honeyplank/standin/etcd"
 	"honeyplank/target"
 )
@@ -32,6 +35,11 @@
 //go:embed badday.xml
 var BadDay []byte
 
+// Sources is the built-in script in which etcd and DNS misbehave.
+//
+//go:embed sources.xml
+var Sources []byte
+
 // Options are how a script is played.
 type Options struct {
 	Script *settings.Gateway
@@ -82,6 +90,9 @@
 	cells    map[int]*disk.Server // who serves a cell now
 	all      []*disk.Server
 	agents   map[string]int
+	names    []*dns.Server // one a gateway
+	records  map[string]dns.Record
+	still    bool // DNS stands still
 	load     *load.Generator
 	mu       sync.Mutex
 	gateways []*gateway.Instance
@@ -102,7 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
-	st := &stage{o: o, script: o.Script, loop: l, rng: rand.New(rand.NewSource(o.Seed)), log: audit.NewLog(), cells: map[int]*disk.Server{}, agents: map[string]int{}}
+	st := &stage{o: o, script: o.Script, loop: l, rng: rand.New(rand.NewSource(o.Seed)), log: audit.NewLog(), cells: map[int]*disk.Server{}, agents: map[string]int{}, records: map[string]dns.Record{}}
 	defer func() {
 		for _, g := range st.gateways {
 			if g != nil {
@@ -112,6 +123,9 @@
 		if st.etcd != nil {
 			st.etcd.Close()
 		}
+		for _, d := range st.names {
+			d.Close()
+		}
 	}()
 	if err := st.build(); err != nil {
 		l.Stop()
@@ -179,10 +193,18 @@
 				started = time.UnixMilli(r.StartedMS)
 			}
 		}
-		st.log.Told(n, strings.TrimPrefix(key, prefix), state, started)
+		st.log.Told(n, "etcd", strings.TrimPrefix(key, prefix), state, started)
 	}
 	for n := range s.Rehearsal.Gateways {
 		st.agents[hostNQN(s, n)] = n
+		if s.List.DNS != nil {
+			d, err := dns.New(s.List.DNS.Name)
+			if err != nil {
+				return err
+			}
+			d.Told = st.told(n)
+			st.names = append(st.names, d)
+		}
 	}
 	st.model = Model(s)
 	var cells []int
@@ -211,6 +233,77 @@
 	return nil
 }
 
+// told notes what DNS answers tell a gateway. By the written rule (docs/sources.md) a server is told to be gone when
+// an answer lacks it together with no more than a part of those of the answer before.
+func (st *stage) told(gateway int) func([]dns.Record) {
+	before := map[string]dns.Record{}
+	return func(records []dns.Record) {
+		now := map[string]dns.Record{}
+		for _, r := range records {
+			address := fmt.Sprintf("%s:%d", r.IP, r.Port)
+			now[address] = r
+			state, started := "on", time.Time{}
+			if r.Weight == 0 {
+				state = "draining"
+			}
+			if _, text, ok := strings.Cut(strings.Split(r.Target, ".")[0], "-t"); ok {
+				if n, err := strconv.ParseInt(text, 10, 64); err == nil {
+					started = time.Unix(n, 0)
+				}
+			}
+			st.log.Told(gateway, "dns", address, state, started)
+		}
+		lost := 0
+		for address := range before {
+			if _, ok := now[address]; !ok {
+				lost++
+			}
+		}
+		if float64(lost) > st.script.List.Believe.Vanish*float64(len(before)) {
+			return // doubted; what was held stays held
+		}
+		for address := range before {
+			if _, ok := now[address]; !ok {
+				st.log.Told(gateway, "dns", address, "gone", time.Time{})
+			}
+		}
+		before = now
+	}
+}
+
+// publish has DNS say what is registered now.
+func (st *stage) publish() {
+	if st.still {
+		return
+	}
+	var list []dns.Record
+	for _, r := range st.records {
+		list = append(list, r)
+	}
+	for _, d := range st.names {
+		d.Set(1, list)
+	}
+}
+
+// register tells DNS of a server; weight 0: it drains.
+func (st *stage) register(cell int, weight uint16) {
+	d := st.cells[cell]
+	at := netip.MustParseAddrPort(d.Address())
+	target := fmt.Sprintf("n%d--c%d-z%d", at.Port(), cell, cell%3)
+	if d.Started > 0 {
+		target += fmt.Sprintf("-t%d", st.loop.At(d.Started).Unix())
+	}
+	st.records[d.Address()] = dns.Record{Target: target + ".storage.example.", IP: at.Addr().String(), Port: at.Port(), Weight: weight}
+	st.publish()
+}
+
+// remove takes a server out of the list.
+func (st *stage) remove(address string) {
+	st.etcd.Delete(st.script.List.Prefix + address)
+	delete(st.records, address)
+	st.publish()
+}
+
 // Model is what the stand-in disk servers of a script are like.
 func Model(s *settings.Gateway) disk.Model {
 	m := disk.Model{Fleet: s.Rehearsal.Fleet, Block: int(s.Volumes.Block), Unit: int(s.Volumes.Unit), Extent: int64(s.Volumes.Extent),
@@ -264,6 +357,11 @@
 	}
 	value, _ := json.Marshal(r)
 	st.etcd.Set(st.script.List.Prefix+d.Address(), value)
+	weight := uint16(1)
+	if state != "on" {
+		weight = 0
+	}
+	st.register(cell, weight)
 }
 
 // gateway starts one, at its own address of old if it had one.
@@ -273,6 +371,12 @@
 	s.Listen.Address, s.Listen.Host = address, hostNQN(st.script, n)
 	s.List.Etcd = slices.Clone(s.List.Etcd[:1])
 	s.List.Etcd[0].Endpoint = st.etcd.Address()
+	if s.List.DNS != nil {
+		own := *s.List.DNS
+		own.Servers = slices.Clone(own.Servers[:1])
+		own.Servers[0].Address = st.names[n].Address()
+		s.List.DNS = &own
+	}
 	g, err := gateway.New(gateway.Options{Settings: &s, Seed: st.o.Seed + int64(n), Module: st.o.Module, Log: st.o.Log.With().Int("gateway", n).Logger()})
 	if err != nil {
 		return err
@@ -323,11 +427,10 @@
 // restart ends the server of a cell and brings it back cold after a time.
 func (st *stage) restart(cell int, after time.Duration) {
 	d := st.cells[cell]
-	key := st.script.List.Prefix + d.Address()
 	d.Die()
 	d.Faults.Silent = true // not to be picked meanwhile
 	if after > 2*listLag {
-		st.after(listLag, func() { st.etcd.Delete(key) })
+		st.after(listLag, func() { st.remove(d.Address()) })
 	}
 	st.after(after, func() {
 		if err := d.Start(); err != nil {
@@ -349,7 +452,6 @@
 	d.Faults.Draining = true
 	st.list(cell, "draining")
 	st.after(notice, func() {
-		key := st.script.List.Prefix + d.Address()
 		d.Die()
 		old := *d
 		fresh, err := st.server(cell)
@@ -359,7 +461,7 @@
 		}
 		fresh.Adopt(&old)
 		st.cold(fresh)
-		st.etcd.Delete(key)
+		st.remove(old.Address())
 		st.list(cell, "on")
 	})
 }
@@ -443,9 +545,58 @@
 			})
 		}()
 	},
+	"list-cut": func(st *stage, _ settings.Trouble) { st.etcd.Break() },
+	"list-compacted": func(st *stage, t settings.Trouble) {
+		st.etcd.Down(true)
+		for _, cell := range st.pick(t.Count) {
+			st.replace(cell, t.For.D()/4)
+		}
+		st.after(t.For.D(), func() { st.etcd.Forget(); st.etcd.Down(false) })
+	},
+	"list-mute": func(st *stage, t settings.Trouble) {
+		st.etcd.Mute(true)
+		st.after(t.For.D(), func() { st.etcd.Mute(false) })
+	},
+	"re-register": func(st *stage, _ settings.Trouble) {
+		for cell, d := range st.cells {
+			if d.Faults == (disk.Faults{}) && !d.Fell {
+				st.list(cell, "on")
+			}
+		}
+	},
+	"dns-down":      misname(dns.Faults{Rcode: 2}),
+	"dns-empty":     misname(dns.Faults{Empty: true}, dns.Faults{None: true}),
+	"dns-lies":      misname(dns.Faults{Other: true}, dns.Faults{Malformed: true}, dns.Faults{WrongID: true}),
+	"dns-truncated": misname(dns.Faults{Truncate: true}, dns.Faults{Truncate: true, NoTCP: true}),
+	"dns-drain": func(st *stage, t settings.Trouble) {
+		for _, cell := range st.pick(t.Count) {
+			st.register(cell, 0)
+			st.after(t.For.D(), func() { st.register(cell, 1) })
+		}
+	},
+	"dns-stale": func(st *stage, t settings.Trouble) {
+		st.still = true
+		for _, cell := range st.pick(t.Count) {
+			st.replace(cell, t.For.D()/2)
+		}
+		st.after(t.For.D(), func() { st.still = false; st.publish() })
+	},
 	"clients-leave": func(st *stage, t settings.Trouble) { st.load.Leave(max(t.Count, 1)) },
 }
 
+// misname has every name server go wrong in several ways, one after another.
+func misname(ways ...dns.Faults) func(*stage, settings.Trouble) {
+	return func(st *stage, t settings.Trouble) {
+		for i, f := range append(ways, dns.Faults{}) {
+			st.after(t.For.D()*time.Duration(i)/time.Duration(len(ways)), func() {
+				for _, d := range st.names {
+					d.Fault(f)
+				}
+			})
+		}
+	}
+}
+
 func (st *stage) surge(nsid uint32, t settings.Trouble) {
 	st.load.Factor[nsid] = or(t.Times, 5)
 	st.after(t.For.D(), func() { delete(st.load.Factor, nsid) })
--- a/rehearse/sabotage_test.go
+++ b/rehearse/sabotage_test.go
@@ -181,7 +181,10 @@
 
 // TestTroubles makes a script of every kind of trouble that a script can name.
 func TestTroubles(t *testing.T) {
-	script := short(t, time.Second)
+	script, err := settings.Parse("built-in script", Sources)
+	if err != nil {
+		t.Fatal(err)
+	}
 	scripts, names, err := Troubles(script, "all")
 	if err != nil {
 		t.Fatal(err)
--- a/standin/dns/dns.go
+++ b/standin/dns/dns.go
@@ -35,6 +35,9 @@
 
 // Server is one stand-in. Its methods may be called from any goroutine.
 type Server struct {
+	// Told, where set before the first query, hears of each sound answer to the list's question.
+	Told func([]Record)
+
 	mu      sync.Mutex
 	name    string
 	records []Record
@@ -137,6 +140,13 @@
 		}
 		m.Truncate(size)
 	}
+	if sound := !m.Truncated && !f.Other && !f.WrongID && !f.Empty && m.Rcode != dns.RcodeServerFailure; sound && s.Told != nil && q.Question[0].Qtype == dns.TypeSRV {
+		records := s.records
+		if f.None {
+			records = nil
+		}
+		s.Told(records)
+	}
 	w.WriteMsg(m)
 }
 
