Cost of following the list measured; believed and said compared while rehearsing

Need: the list must be followed at 10,000 nodes and 1,000 changes a second, and no node that both sources hold may be believed gone.

--- a/cmd/honeyplank/standin.go
+++ b/cmd/honeyplank/standin.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -11,11 +13,13 @@
 	"honeyplank/members"
 	"honeyplank/rehearse"
 	"honeyplank/standin/disk"
+	"honeyplank/standin/dns"
 	"honeyplank/standin/etcd"
 )
 
 type standinCommand struct {
 	Disk diskCommand `cmd:"" help:"Run the disk servers of a script, until interrupted."`
+	DNS  dnsCommand  `cmd:"" help:"Run a name server with the disk servers named, until interrupted."`
 	Etcd etcdCommand `cmd:"" help:"Run an etcd with the disk servers named, until interrupted."`
 }
 
@@ -80,3 +84,40 @@
 	<-ctx.Done()
 	return nil
 }
+
+type dnsCommand struct {
+	Nodes    []string `arg:"" optional:"" help:"Addresses of disk servers; the first is listed for cell 0, and so on. One that ends in /0 drains."`
+	Name     string   `help:"Owner of the SRV records." default:"_honeyplank._tcp.storage.example."`
+	Lifetime uint32   `help:"Lifetime of the records in seconds." default:"10"`
+	Truncate bool     `help:"Truncate over UDP."`
+	Empty    bool     `help:"Answer without records or an SOA."`
+	Rcode    int      `help:"Answer with this response code."`
+}
+
+func (c *dnsCommand) Run() error {
+	s, err := dns.New(c.Name)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	var list []dns.Record
+	for cell, text := range c.Nodes {
+		address, drains := strings.CutSuffix(text, "/0")
+		at, err := netip.ParseAddrPort(address)
+		if err != nil {
+			return invalid{err}
+		}
+		r := dns.Record{Target: fmt.Sprintf("n%d--c%d.storage.example.", cell, cell), IP: at.Addr().String(), Port: at.Port(), Weight: 1}
+		if drains {
+			r.Weight = 0
+		}
+		list = append(list, r)
+	}
+	s.Set(c.Lifetime, list)
+	s.Fault(dns.Faults{Truncate: c.Truncate, Empty: c.Empty, Rcode: c.Rcode})
+	fmt.Println(s.Address())
+	ctx, stop := signals()
+	defer stop()
+	<-ctx.Done()
+	return nil
+}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -591,3 +591,31 @@
 		t.Fatalf("read: %#x", status)
 	}
 }
+
+// TestReregistered has a thousand nodes register anew within a second, twice; ops go on, and the list is right.
+func TestReregistered(t *testing.T) {
+	w := start(t)
+	a := w.dial("client")
+	for round := range 2 {
+		began := time.Now()
+		for i := range 1000 {
+			w.list(fmt.Sprintf("127.0.9.%d:%d", i%250, 8000+i/250), 100+i, "on")
+			if i%100 == 0 {
+				if _, status := w.op(a, nvme.NewRW(nvme.Read, 2, uint64(i), 1), nil); status != nvme.Success {
+					t.Errorf("op while %d nodes register: %#x", i, status)
+				}
+			}
+		}
+		t.Logf("round %d: a thousand registered in %v", round, time.Since(began))
+	}
+	w.eventually("all are believed on", func() bool {
+		list, _ := w.g.Nodes()
+		on := 0
+		for _, n := range list {
+			if n.Believed == "on" {
+				on++
+			}
+		}
+		return on == 1002
+	})
+}
--- a/rehearse/rehearse.go
+++ b/rehearse/rehearse.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -58,7 +59,11 @@
 	Service  float64          `json:"service"` // utility earned of what was due
 	Gateways []gateway.Counts `json:"gateways"`
 	Fell     int              `json:"servers_fallen"`
-	Seconds  float64          `json:"seconds"`
+	// Disbelieved counts looks at which a gateway believed a server out that both its sources held on and that was
+	// not held back for flapping; Looks are all.
+	Disbelieved int     `json:"disbelieved"`
+	Looks       int     `json:"looks"`
+	Seconds     float64 `json:"seconds"`
 }
 
 // TypeReport is what became of the ops of one type.
@@ -93,6 +98,9 @@
 	names    []*dns.Server // one a gateway
 	records  map[string]dns.Record
 	still    bool // DNS stands still
+	cut      atomic.Bool
+	looks    int
+	wrong    int // of looks
 	load     *load.Generator
 	mu       sync.Mutex
 	gateways []*gateway.Instance
@@ -138,11 +146,15 @@
 	l.AtTime(l.Now()+r.Length.D()+settle, func() { st.load.Stop(func() { close(finished) }) })
 	looped := make(chan error, 1)
 	go func() { looped <- l.Run() }()
+	looking := make(chan struct{})
+	go func() { defer close(looking); st.look(finished) }()
 	select {
 	case <-finished:
 	case <-ctx.Done():
 		err = ctx.Err()
+		st.cut.Store(true)
 	}
+	<-looking
 	// A gateway that does not settle in the time of its longest op is the audit's matter: it is cut then.
 	within, cancel := context.WithTimeout(ctx, patience(o.Script))
 	for _, g := range st.gateways {
@@ -161,6 +173,29 @@
 	return report, err
 }
 
+// look asks the gateways now and then what they believe, where there are two sources.
+func (st *stage) look(finished chan struct{}) {
+	for st.script.List.DNS != nil && !st.cut.Load() {
+		select {
+		case <-finished:
+			return
+		case <-time.After(200 * time.Millisecond):
+		}
+		running := make(chan []*gateway.Instance, 1)
+		st.loop.Post(func() { running <- slices.Clone(st.gateways) })
+		for _, g := range <-running {
+			nodes, _ := g.Nodes()
+			for _, n := range nodes {
+				st.looks++
+				sound := strings.HasPrefix(n.Etcd, "on") && strings.HasPrefix(n.DNS, "on") && !strings.HasSuffix(n.Etcd+n.DNS, "vanished")
+				if sound && n.Believed != "on" && n.Cause != "held back" {
+					st.wrong++
+				}
+			}
+		}
+	}
+}
+
 // patience is more than the longest op takes.
 func patience(s *settings.Gateway) (longest time.Duration) {
 	for _, t := range s.OpTypes {
@@ -611,7 +646,7 @@
 
 // report sums up; it waits for the loop.
 func (st *stage) report() *Report {
-	out := &Report{Seed: st.o.Seed, Kept: true}
+	out := &Report{Seed: st.o.Seed, Kept: st.wrong == 0, Looks: st.looks, Disbelieved: st.wrong}
 	for _, g := range st.gateways {
 		c, _ := g.Counts()
 		out.Gateways = append(out.Gateways, c)
@@ -671,5 +706,8 @@
 		fmt.Fprintf(&b, "%-12s %6d %6d %6d %8d %9d %7d %5d %6d %9.0f %9.1f %9.1f %8.3f\n", t.Name, t.Ops, t.Tries, t.Acked, t.InTime, t.Throttled, t.Aborted, t.Lost, t.Wrong, t.Target, t.P50, t.P99, t.Service)
 	}
 	fmt.Fprintf(&b, "\nservice (utility earned of what was due) %.3f; disk servers pushed over: %d\n", r.Service, r.Fell)
+	if r.Looks > 0 {
+		fmt.Fprintf(&b, "believed gone though both sources held it on: %d of %d looks\n", r.Disbelieved, r.Looks)
+	}
 	return b.String()
 }
--- a/rehearse/sabotage_test.go
+++ b/rehearse/sabotage_test.go
@@ -179,6 +179,26 @@
 	}
 }
 
+// TestSources plays the first part of the day on which both sources misbehave.
+func TestSources(t *testing.T) {
+	t.Parallel()
+	s, err := settings.Parse("built-in script", Sources)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Rehearsal.Length = settings.Span(9 * time.Second)
+	s.Rehearsal.Troubles = []settings.Trouble{at("dns-drain", 500*time.Millisecond, 3*time.Second, 1, 0), at("dns-empty", time.Second, 2*time.Second, 0, 0),
+		at("list-compacted", 1500*time.Millisecond, 2*time.Second, 1, 0), at("list-mute", 4*time.Second, 3*time.Second, 0, 0), at("dns-truncated", 4*time.Second, 2*time.Second, 0, 0),
+		at("drain", 4200*time.Millisecond, time.Second, 1, 0), at("gateway-restart", 5*time.Second, 300*time.Millisecond, 1, 0), at("dns-lies", 6*time.Second, 2*time.Second, 0, 0), at("die", 6500*time.Millisecond, time.Second, 1, 0)}
+	r, err := Run(context.Background(), Options{Script: s, Seed: 5})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !r.Kept || r.Looks == 0 || r.Disbelieved > 0 || r.Rules[2].Checked == 0 {
+		t.Errorf("%v", r)
+	}
+}
+
 // TestTroubles makes a script of every kind of trouble that a script can name.
 func TestTroubles(t *testing.T) {
 	script, err := settings.Parse("built-in script", Sources)
