Both families of addresses in DNS; a fleet is not lost to leases that run out together

Change: A and AAAA in the resolver and IPv6 sockets in the loop; of two records of one server the draining one counts (found by trying the stand-ins by hand: the first record won).

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -21,6 +22,7 @@
 	"honeyplank/rehearse"
 	"honeyplank/settings"
 	"honeyplank/standin/disk"
+	"honeyplank/standin/dns"
 	"honeyplank/standin/etcd"
 )
 
@@ -619,3 +621,60 @@
 		return on == 1002
 	})
 }
+
+// TestBulkLoss has every key in etcd go, one by one, as leases do that run out together, while DNS holds the
+// servers on: the fleet is not taken away. A drain told by DNS alone then takes one server out, and it alone.
+func TestBulkLoss(t *testing.T) {
+	names, err := dns.New("_h._tcp.x.")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer names.Close()
+	var records []dns.Record
+	w := start(t, func(s *settings.Gateway) {
+		s.List.DNS = &settings.NameService{Name: "_h._tcp.x.", Floor: settings.Span(50 * time.Millisecond), Ceiling: settings.Span(100 * time.Millisecond), Timeout: settings.Span(time.Second)}
+		s.List.DNS.Servers = append(s.List.DNS.Servers, struct {
+			Address string `xml:"address,attr"`
+		}{names.Address()})
+		s.List.Believe = &settings.Believe{Vanish: 0.4, Confirm: settings.Span(300 * time.Millisecond), Calm: settings.Span(time.Second), Flaps: 9}
+	})
+	for cell, d := range w.disks {
+		at := netip.MustParseAddrPort(d.Address())
+		records = append(records, dns.Record{Target: fmt.Sprintf("a%d--c%d.x.", cell, cell), IP: "127.0.0.1", Port: at.Port(), Weight: 1})
+	}
+	names.Set(1, records)
+	believed := func() (text string) {
+		list, _ := w.g.Nodes()
+		for _, d := range w.disks {
+			for _, n := range list {
+				if n.OSD == d.Address() {
+					text += n.Believed + " " + strings.SplitN(n.DNS, " ", 2)[0] + ";"
+				}
+			}
+		}
+		return text
+	}
+	w.eventually("both sources are heard", func() bool { return believed() == "on on;on on;" })
+	for _, d := range w.disks {
+		w.etcd.Delete("/honeyplank/nodes/" + d.Address())
+	}
+	a := w.dial("client")
+	for i := range 60 { // for twice as long as it takes to confirm
+		if _, status := w.op(a, nvme.NewRW(nvme.Read, 2, uint64(i), 1), nil); status != nvme.Success {
+			t.Fatalf("op %d after etcd emptied: %#x; %s", i, status, believed())
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	for cell, d := range w.disks {
+		w.list(d.Address(), cell, "on")
+	}
+	records[1].Weight = 0
+	names.Set(1, records)
+	w.eventually("the drain told by DNS", func() bool { return believed() == "on on;draining draining;" })
+	if _, status := w.op(a, nvme.NewRW(nvme.Read, 2, 1, 1), nil); status == nvme.Success {
+		t.Error("work for a server that DNS drains")
+	}
+	if _, status := w.op(a, nvme.NewRW(nvme.Read, 1, 1, 1), nil); status != nvme.Success {
+		t.Errorf("the other server: %#x", status)
+	}
+}
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -496,18 +496,18 @@
 	c.watch()
 }
 
-// Dial starts a connection to an IPv4 address and port; the handler hears Opened or Closed later.
+// Dial starts a connection to an address and port; the handler hears Opened or Closed later.
 func (l *Loop) Dial(address string, h Handler) (*Conn, error) {
 	to, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return nil, err
 	}
-	fd, err := socket()
+	fd, err := socket(to.Addr())
 	if err != nil {
 		return nil, err
 	}
 	l.Stats.Others.Add(2)
-	err = unix.Connect(fd, &unix.SockaddrInet4{Port: int(to.Port()), Addr: to.Addr().Unmap().As4()})
+	err = unix.Connect(fd, sockaddr(to))
 	if err != nil && !errors.Is(err, unix.EINPROGRESS) {
 		unix.Close(fd)
 		return nil, err
@@ -524,19 +524,19 @@
 	closed bool
 }
 
-// Listen accepts on an IPv4 address and port, 0 for any; accept gives each connection its handler, or nil to
+// Listen accepts on an address and port, 0 for any; accept gives each connection its handler, or nil to
 // turn it away.
 func (l *Loop) Listen(address string, accept func(*Conn) Handler) (*Listener, error) {
 	at, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return nil, err
 	}
-	fd, err := socket()
+	fd, err := socket(at.Addr())
 	if err != nil {
 		return nil, err
 	}
 	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
-	if err = unix.Bind(fd, &unix.SockaddrInet4{Port: int(at.Port()), Addr: at.Addr().Unmap().As4()}); err == nil {
+	if err = unix.Bind(fd, sockaddr(at)); err == nil {
 		err = unix.Listen(fd, 1024)
 	}
 	if err != nil {
@@ -547,19 +547,33 @@
 	return n, l.add(fd, unix.EPOLLIN, n)
 }
 
-func socket() (int, error) {
-	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+func socket(to netip.Addr) (int, error) {
+	family := unix.AF_INET
+	if to.Unmap().Is6() {
+		family = unix.AF_INET6
+	}
+	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 	if err == nil {
 		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
 	}
 	return fd, err
 }
 
+func sockaddr(a netip.AddrPort) unix.Sockaddr {
+	if ip := a.Addr().Unmap(); ip.Is4() {
+		return &unix.SockaddrInet4{Port: int(a.Port()), Addr: ip.As4()}
+	}
+	return &unix.SockaddrInet6{Port: int(a.Port()), Addr: a.Addr().As16()}
+}
+
 // Address is where the listener listens.
 func (n *Listener) Address() string {
 	if sa, err := unix.Getsockname(n.fd); err == nil {
-		if in, ok := sa.(*unix.SockaddrInet4); ok {
+		switch in := sa.(type) {
+		case *unix.SockaddrInet4:
 			return netip.AddrPortFrom(netip.AddrFrom4(in.Addr), uint16(in.Port)).String()
+		case *unix.SockaddrInet6:
+			return netip.AddrPortFrom(netip.AddrFrom16(in.Addr), uint16(in.Port)).String()
 		}
 	}
 	return ""
--- a/members/dns.go
+++ b/members/dns.go
@@ -138,25 +138,27 @@
 			news.Skipped = append(news.Skipped, err.Error())
 			continue
 		}
-		if addresses[target] == nil {
-			a, err := d.exchange(ctx, server, target, dns.TypeA)
-			switch {
-			case errors.As(err, &negative):
+		for _, kind := range []uint16{dns.TypeA, dns.TypeAAAA} {
+			if len(addresses[target]) > 0 {
+				break
+			}
+			a, err := d.exchange(ctx, server, target, kind)
+			if errors.As(err, &negative) {
 				life = min(life, negative.life)
-				news.Skipped = append(news.Skipped, "members: "+target+" has no IPv4 address")
 				continue
-			case err != nil: // one address is missing: the whole answer is no better
+			}
+			if err != nil { // one address is missing: the whole answer is no better
 				return news, 0, err
 			}
-			for _, rr := range a.Answer {
-				d.address(rr, map[string][]netip.Addr{}, &life)
-				if r, ok := rr.(*dns.A); ok { // whatever alias led to it
-					if ip, ok := netip.AddrFromSlice(r.A.To4()); ok {
-						addresses[target] = append(addresses[target], ip)
-					}
-				}
+			for _, rr := range a.Answer { // whatever alias led to it
+				rr.Header().Name = target
+				d.address(rr, addresses, &life)
 			}
 		}
+		if len(addresses[target]) == 0 {
+			news.Skipped = append(news.Skipped, "members: "+target+" has no address")
+			continue
+		}
 		for _, ip := range addresses[target] {
 			s.node.Address = netip.AddrPortFrom(ip, r.Port).String()
 			found = append(found, s)
@@ -167,15 +169,19 @@
 	return news, life, nil
 }
 
+// address notes an A or AAAA record by its owner.
 func (d *DNS) address(rr dns.RR, into map[string][]netip.Addr, life *uint32) {
-	r, ok := rr.(*dns.A)
-	if !ok {
-		return
+	var raw []byte
+	switch r := rr.(type) {
+	case *dns.A:
+		raw = r.A.To4()
+	case *dns.AAAA:
+		raw = r.AAAA.To16()
 	}
-	if ip, ok := netip.AddrFromSlice(r.A.To4()); ok {
-		name := strings.ToLower(r.Hdr.Name)
-		into[name] = append(into[name], ip)
-		*life = min(*life, r.Hdr.Ttl)
+	if ip, ok := netip.AddrFromSlice(raw); ok {
+		name := strings.ToLower(rr.Header().Name)
+		into[name] = append(into[name], ip.Unmap())
+		*life = min(*life, rr.Header().Ttl)
 	}
 }
 
@@ -268,18 +274,26 @@
 	return s, nil
 }
 
-// lowest keeps of each cell the records of the lowest priority that are on, and all that drain.
+// lowest keeps of each cell the records of the lowest priority that are on, and all that drain. Of two records
+// of one server the one that drains counts.
 func lowest(all []srv) (nodes []Node) {
-	least := map[int]uint16{}
+	least, drains, seen := map[int]uint16{}, map[string]bool{}, map[string]bool{}
 	for _, s := range all {
-		if p, ok := least[s.node.Cell]; s.node.State == "on" && (!ok || s.priority < p) {
+		if s.node.State != "on" {
+			drains[s.node.Address] = true
+		}
+	}
+	for _, s := range all {
+		if p, ok := least[s.node.Cell]; !drains[s.node.Address] && (!ok || s.priority < p) {
 			least[s.node.Cell] = s.priority
 		}
 	}
-	seen := map[string]bool{}
 	for _, s := range all {
-		if (s.node.State != "on" || s.priority == least[s.node.Cell]) && !seen[s.node.Address] {
+		if drained := drains[s.node.Address]; !seen[s.node.Address] && (drained || s.priority == least[s.node.Cell]) {
 			seen[s.node.Address] = true
+			if drained {
+				s.node.State = "draining"
+			}
 			nodes = append(nodes, s.node)
 		}
 	}
--- a/members/dns_test.go
+++ b/members/dns_test.go
@@ -95,18 +95,22 @@
 		{Target: "b--c4.x.", IP: "127.0.0.1", Port: 2, Weight: 1, Priority: 9}, // stands by for a
 		{Target: "c--c5.x.", IP: "127.0.0.1", Port: 3, Weight: 0},              // drains
 		{Target: "d--c5.x.", IP: "127.0.0.1", Port: 4, Weight: 1, Priority: 9},
+		{Target: "d--c8.x.", IP: "127.0.0.1", Port: 8, Weight: 1}, // on, and draining: it drains
+		{Target: "d--c8.x.", IP: "127.0.0.1", Port: 8, Weight: 0},
 		{Target: "nocell.x.", IP: "127.0.0.1", Port: 5, Weight: 1},
 		{Target: "e--c6.x.", Port: 6, Weight: 1}, // has no address
+		{Target: "f--c7.x.", IP: "::1", Port: 7, Weight: 1},
 	})
+	servers[0].Fault(dns.Faults{Bare: true}) // A, then AAAA are asked for
 	var n News
-	for range 3 {
+	for range 4 {
 		n = <-news
 	}
 	got := ""
 	for _, x := range n.Nodes {
 		got += fmt.Sprintf("%s %s c%d z%d t%d; ", x.Address, x.State, x.Cell, x.Zone, x.StartedMS)
 	}
-	want := "127.0.0.1:1 on c4 z2 t1700000000000; 127.0.0.1:3 draining c5 z0 t0; 127.0.0.1:4 on c5 z0 t0; "
+	want := "127.0.0.1:1 on c4 z2 t1700000000000; 127.0.0.1:3 draining c5 z0 t0; 127.0.0.1:4 on c5 z0 t0; 127.0.0.1:8 draining c8 z0 t0; [::1]:7 on c7 z0 t0; "
 	if got != want || len(n.Skipped) != 2 {
 		t.Errorf("%s\nwant %s\nskipped %v", got, want, n.Skipped)
 	}
--- a/standin/dns/dns.go
+++ b/standin/dns/dns.go
@@ -156,14 +156,17 @@
 		return dns.RR_Header{Name: name, Rrtype: kind, Class: dns.ClassINET, Ttl: s.ttl}
 	}
 	for _, r := range s.records {
-		a := &dns.A{Hdr: head(r.Target, dns.TypeA), A: net.ParseIP(r.IP)}
+		var a dns.RR = &dns.A{Hdr: head(r.Target, dns.TypeA), A: net.ParseIP(r.IP)}
+		if strings.Contains(r.IP, ":") {
+			a = &dns.AAAA{Hdr: head(r.Target, dns.TypeAAAA), AAAA: net.ParseIP(r.IP)}
+		}
 		if q.Qtype == dns.TypeSRV && name == s.name {
 			m.Answer = append(m.Answer, &dns.SRV{Hdr: head(q.Name, dns.TypeSRV), Priority: r.Priority, Weight: r.Weight, Port: r.Port, Target: r.Target})
 			if !bare && r.IP != "" {
 				m.Extra = append(m.Extra, a)
 			}
 		}
-		if q.Qtype == dns.TypeA && name == strings.ToLower(r.Target) && r.IP != "" {
+		if q.Qtype == a.Header().Rrtype && name == strings.ToLower(r.Target) && r.IP != "" {
 			m.Answer = append(m.Answer, a)
 		}
 	}
