--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"honeyplank/loop"
 	"honeyplank/members"
 	"honeyplank/nvme"
+	"honeyplank/peers"
 	"honeyplank/policy"
 	"honeyplank/settings"
 	"honeyplank/target"
@@ -132,6 +133,13 @@
 		l.Run()
 		return nil, fmt.Errorf("gateway: %s: %w", s.Listen.Address, err)
 	}
+	if p := s.Limits.Peer; p != nil {
+		g.server.Guard = peers.New(peers.Terms{Connections: p.Connections, Handshakes: p.Handshakes, Bytes: int(p.Bytes), PDU: p.PDU.D(),
+			Breaches: p.Breaches, Window: p.Window.D(), Shut: p.Shut.D(), Most: p.Most.D()})
+	}
+	g.server.Judged = func(peer, what string, span time.Duration) {
+		g.log.Warn().Str("peer", peer).Str("why", what).Dur("for_ms", span).Msg("a peer is turned away")
+	}
 	g.server.Patience = func(c *target.Command) time.Duration { return g.patience(c) }
 	terms := belief.Terms{Vanish: 1} // one source alone is believed
 	if t := s.List.Believe; t != nil {
--- a/gateway/raw_test.go
+++ b/gateway/raw_test.go
@@ -1,7 +1,9 @@
 package gateway_test
 
 import (
+	"errors"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -24,6 +26,27 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return rawOn(t, conn)
+}
+
+// rawFrom dials from a loopback address of its own, as another peer; nil: it was turned away.
+func rawFrom(t *testing.T, from, address string) *raw {
+	t.Helper()
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
+	conn, err := d.Dial("tcp", address)
+	if err != nil {
+		return nil
+	}
+	conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	if _, err := conn.Read(make([]byte, 1)); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		conn.Close()
+		return nil
+	}
+	return rawOn(t, conn)
+}
+
+func rawOn(t *testing.T, conn net.Conn) *raw {
+	t.Helper()
 	t.Cleanup(func() { conn.Close() })
 	conn.SetDeadline(time.Now().Add(5 * time.Second))
 	return &raw{t: t, conn: conn, frame: nvme.Framing{MaxData: 1 << 20, FromHost: true}, in: nvme.Framing{MaxData: 1 << 20}}
@@ -67,6 +90,33 @@
 	}
 }
 
+// expectAny reads PDUs until one is of a type.
+func (c *raw) expectAny(kind uint8) nvme.PDU {
+	c.t.Helper()
+	for {
+		for {
+			p, n, err := c.in.Decode(c.held)
+			if err != nil {
+				c.t.Fatal(err)
+			}
+			if n == 0 {
+				break
+			}
+			p.Header = append([]byte(nil), p.Header...)
+			c.held = c.held[n:]
+			if p.Type == kind {
+				return p
+			}
+		}
+		b := make([]byte, 1<<16)
+		k, err := c.conn.Read(b)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		c.held = append(c.held, b[:k]...)
+	}
+}
+
 func (c *raw) status(p nvme.PDU) nvme.Status {
 	d := p.Completion()
 	return d.Status()
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -282,6 +282,8 @@
 	Out []byte
 	// Tap, where set, sees the bytes that cross the socket, in order; sent tells which way. No bytes: the end.
 	Tap func(sent bool, b []byte)
+	// Peer is who connected; not set for a connection that was dialled.
+	Peer netip.Addr
 	// Ended, where set, is called once the socket is closed, by whichever end.
 	Ended func()
 
@@ -311,6 +313,9 @@
 	}
 }
 
+// Left is how many bytes have come and were not used: a part of what the handler waits for.
+func (c *Conn) Left() int { return len(c.left) }
+
 // Pause stops reading until Resume.
 func (c *Conn) Pause() { c.paused = true; c.watch() }
 
@@ -590,12 +595,18 @@
 func (n *Listener) ready(uint32) {
 	for !n.closed {
 		n.l.Stats.Others.Add(1)
-		fd, _, err := unix.Accept4(n.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		fd, from, err := unix.Accept4(n.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		if err != nil {
 			return
 		}
 		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
 		c := &Conn{l: n.l, fd: fd, events: unix.EPOLLIN}
+		switch a := from.(type) {
+		case *unix.SockaddrInet4:
+			c.Peer = netip.AddrFrom4(a.Addr)
+		case *unix.SockaddrInet6:
+			c.Peer = netip.AddrFrom16(a.Addr)
+		}
 		if c.h = n.accept(c); c.h == nil {
 			unix.Close(fd)
 			continue
--- a/members/dns.go
+++ b/members/dns.go
@@ -206,6 +206,16 @@
 			break
 		}
 	}
+	answers, err := sound(m, name, kind)
+	if err != nil {
+		return nil, err
+	}
+	m.Answer = answers
+	return m, nil
+}
+
+// sound is what a message answers to a question, or why it is no answer.
+func sound(m *dns.Msg, name string, kind uint16) ([]dns.RR, error) {
 	switch {
 	case m.Truncated:
 		return nil, errors.New("truncated over TCP too")
@@ -236,8 +246,7 @@
 		owner = alias
 	}
 	if m.Rcode == dns.RcodeSuccess && len(answers) > 0 {
-		m.Answer = answers
-		return m, nil
+		return answers, nil
 	}
 	for _, rr := range m.Ns { // RFC 2308: a negative answer carries the SOA, which tells its lifetime
 		if soa, ok := rr.(*dns.SOA); ok {
--- /dev/null
+++ b/peers/peers_test.go
@@ -0,0 +1,195 @@
+package peers
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+)
+
+const s = time.Second
+
+var terms = Terms{Connections: 4, Handshakes: 2, Bytes: 1000, PDU: s, Breaches: 3, Window: 10 * s, Shut: 5 * s, Most: 60 * s}
+
+// TestShutOut follows one peer through every standing.
+func TestShutOut(t *testing.T) {
+	g := New(terms)
+	at := time.Duration(0)
+	is := func(want string) {
+		t.Helper()
+		if got, _ := g.Standing(at, "p"); got != want {
+			t.Fatalf("%v: %s, want %s", at, got, want)
+		}
+	}
+	breach := func(want time.Duration) {
+		t.Helper()
+		if got := g.Breach(at, "p"); got != want {
+			t.Fatalf("%v: shut out for %v, want %v", at, got, want)
+		}
+	}
+	is("welcome")
+	breach(0)
+	is("watched")
+	breach(0)
+	breach(5 * s)
+	is("shut out")
+	if v := g.Open(at, "p"); v != ShutOut {
+		t.Errorf("a peer that is shut out: %v", v)
+	}
+	if v := g.Open(at, "q"); v != Admit {
+		t.Errorf("another peer: %v", v)
+	}
+	at += 5 * s
+	is("on trial")
+	for i, want := range []Verdict{Admit, Admit, TooMany} {
+		if v := g.Open(at, "p"); v != want {
+			t.Errorf("connection %d on trial: %v, want %v", i, v, want)
+		}
+		if i < 2 {
+			g.Joined(at, "p")
+		}
+	}
+	breach(10 * s)
+	at += 10 * s
+	breach(20 * s)
+	at += 20 * s
+	breach(40 * s)
+	at += 40 * s
+	breach(60 * s) // the most
+	at += 60 * s
+	is("on trial")
+	at += 10 * s
+	is("welcome")
+	breach(0)
+	breach(0)
+	at += 10 * s
+	is("welcome")
+	breach(0)
+	breach(0)
+	breach(5 * s) // what was is forgotten
+}
+
+// TestNoBounds leaves every bound out.
+func TestNoBounds(t *testing.T) {
+	g := New(Terms{})
+	for range 1000 {
+		if g.Open(0, "p") != Admit || g.Breach(0, "p") != 0 || !g.Ask(0, "p", 1<<30) || g.Late(time.Hour, 0) {
+			t.Fatal("a bound that was left out holds")
+		}
+	}
+}
+
+// plain counts by lists what the guard counts by numbers.
+type plain struct {
+	open   map[string][]bool // joined
+	asked  map[string][]int
+	breach map[string][]time.Duration
+	until  map[string]time.Duration
+	span   map[string]time.Duration
+	trial  map[string]bool
+	last   map[string]time.Duration
+}
+
+// TestGenerated plays long seeded histories of a few peers against the plain model; what one peer does must change
+// nothing for another, and nobody is remembered for ever.
+func TestGenerated(t *testing.T) {
+	for seed := range int64(100) {
+		rng := rand.New(rand.NewSource(seed))
+		g, now := New(terms), time.Duration(0)
+		p := plain{map[string][]bool{}, map[string][]int{}, map[string][]time.Duration{}, map[string]time.Duration{}, map[string]time.Duration{}, map[string]bool{}, map[string]time.Duration{}}
+		for range 2000 {
+			now += time.Duration(rng.Intn(3000)) * time.Millisecond / 4
+			id := string(rune('a' + rng.Intn(4)))
+			if u := p.until[id]; u > 0 && now >= u {
+				p.until[id], p.trial[id], p.last[id] = 0, true, u
+			}
+			if p.until[id] == 0 && now >= p.last[id]+terms.Window {
+				p.trial[id], p.span[id], p.breach[id] = false, 0, nil
+			}
+			switch rng.Intn(6) {
+			case 0, 1:
+				halves := 0
+				for _, joined := range p.open[id] {
+					if !joined {
+						halves++
+					}
+				}
+				want := Admit
+				switch {
+				case p.until[id] > 0:
+					want = ShutOut
+				case len(p.open[id]) >= terms.Connections || p.trial[id] && len(p.open[id]) >= 2:
+					want = TooMany
+				case halves >= terms.Handshakes:
+					want = TooManyHalves
+				}
+				if v := g.Open(now, id); v != want {
+					t.Fatalf("seed %d at %v: %s opens: %v, want %v", seed, now, id, v, want)
+				} else if v == Admit {
+					p.open[id] = append(p.open[id], false)
+				}
+			case 2:
+				for i, joined := range p.open[id] {
+					if !joined {
+						g.Joined(now, id)
+						p.open[id][i] = true
+						break
+					}
+				}
+			case 3:
+				if n := len(p.open[id]); n > 0 {
+					g.Close(now, id, p.open[id][n-1])
+					p.open[id] = p.open[id][:n-1]
+				}
+			case 4:
+				if rng.Intn(3) > 0 {
+					continue
+				}
+				var want time.Duration
+				if p.until[id] == 0 {
+					p.last[id] = now
+					kept := []time.Duration{now}
+					for _, at := range p.breach[id] {
+						if at > now-terms.Window {
+							kept = append(kept, at)
+						}
+					}
+					p.breach[id] = kept
+					if p.trial[id] || len(kept) >= terms.Breaches {
+						p.span[id] = min(max(2*p.span[id], terms.Shut), terms.Most)
+						want, p.until[id], p.breach[id], p.trial[id] = p.span[id], now+p.span[id], nil, false
+					}
+				}
+				if got := g.Breach(now, id); got != want {
+					t.Fatalf("seed %d at %v: %s breaches: %v, want %v", seed, now, id, got, want)
+				}
+			case 5:
+				sum := 0
+				for _, n := range p.asked[id] {
+					sum += n
+				}
+				if n := 1 + rng.Intn(1500); rng.Intn(2) == 0 {
+					want := sum == 0 || sum+n <= terms.Bytes
+					if got := g.Ask(now, id, n); got != want {
+						t.Fatalf("seed %d: %s with %d bytes asked for %d: %v", seed, id, sum, n, got)
+					}
+					if want {
+						p.asked[id] = append(p.asked[id], n)
+					}
+				} else if k := len(p.asked[id]); k > 0 {
+					g.Got(now, id, p.asked[id][k-1])
+					p.asked[id] = p.asked[id][:k-1]
+				}
+			}
+		}
+	}
+	g := New(terms)
+	for i := range 100_000 {
+		id := string(rune(i))
+		if g.Open(time.Duration(i)*time.Millisecond, id) == Admit {
+			g.Close(time.Duration(i)*time.Millisecond, id, false)
+		}
+	}
+	if n := g.Known(); n > 11_000 {
+		t.Errorf("%d peers are remembered, nobody is connected", n)
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -199,6 +199,7 @@
 
 // Limits bound what clients may cost.
 type Limits struct {
+	Peer        *Peer `xml:"peer"`
 	Connections int   `xml:"connections,attr"`
 	Depth       int   `xml:"depth,attr"`
 	Transfer    Bytes `xml:"transfer,attr"`
@@ -209,6 +210,18 @@
 	Handshake   Span  `xml:"handshake,attr"`
 }
 
+// Peer bounds what one peer may cost: docs/peers.md.
+type Peer struct {
+	Connections int   `xml:"connections,attr"`
+	Handshakes  int   `xml:"handshakes,attr"`
+	Bytes       Bytes `xml:"bytes,attr"`
+	PDU         Span  `xml:"pdu,attr"`
+	Breaches    int   `xml:"breaches,attr"`
+	Window      Span  `xml:"window,attr"`
+	Shut        Span  `xml:"shut,attr"`
+	Most        Span  `xml:"most,attr"`
+}
+
 // DiskServers says how to talk to them.
 type DiskServers struct {
 	Subsystem     string `xml:"subsystem,attr"`
@@ -330,6 +343,8 @@
 		{g.Rules.Cold == nil || g.Rules.Cold.From > 0 && g.Rules.Cold.Window > 0, rules, "cold has from or window 0", "leave the element out where servers start warm"},
 		{g.Rules.Budget == nil || g.Rules.Budget.Window > 0, rules, "budget has window 0", "leave the element out where there is no budget"},
 		{g.List.AskWithin > 0, one("list"), "ask-within is 0", "such as 10s"},
+		{l.Peer == nil || l.Peer.Connections >= 2 && l.Peer.Window > 0 && l.Peer.Shut > 0 && l.Peer.Most >= l.Peer.Shut && l.Peer.Bytes >= l.Transfer, limits,
+			"peer has under 2 connections, bytes under transfer, window or shut 0, or most under shut", "a host needs two connections, and one transfer must fit"},
 		{len(g.List.Etcd) > 0 || g.List.DNS != nil, one("list"), "the list has no source", "etcd, dns, or both"},
 		{g.List.DNS == nil || g.List.Believe != nil, one("list"), "dns stands without a believe", "with two sources the rule needs its figures"},
 		{g.List.DNS == nil || g.List.DNS.Floor > 0 && g.List.DNS.Floor <= g.List.DNS.Ceiling && g.List.DNS.Timeout > 0, one("list"), "dns has floor or timeout 0, or a floor over its ceiling", "such as floor 1s, ceiling 30s, timeout 500ms"},
--- a/standin/dns/dns.go
+++ b/standin/dns/dns.go
@@ -4,6 +4,7 @@
 
 import (
 	"net"
+	"slices"
 	"strings"
 	"sync"
 
@@ -81,7 +82,7 @@
 func (s *Server) Set(ttl uint32, records []Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ttl, s.records = ttl, records
+	s.ttl, s.records = ttl, slices.Clone(records) // the caller may change its own
 }
 
 func (s *Server) Fault(f Faults) {
--- a/target/server.go
+++ b/target/server.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"honeyplank/loop"
+	"honeyplank/peers"
 )
 
 // Server accepts connections on a loop and drives a session for each.
@@ -16,6 +17,9 @@
 	Tap func() func(sent bool, b []byte)
 	// Deaf drops what comes on new and, with DeafAll, on all connections: faults of a stand-in.
 	Deaf, DeafAll bool
+	// Guard, where set, decides what one peer may cost; Judged hears what it took away.
+	Guard  *peers.Guard
+	Judged func(peer, what string, span time.Duration)
 	// Shut turns new connections away.
 	Shut bool
 	// Refused counts connections turned away, Fatal those ended for a breach of the protocol.
@@ -36,11 +40,14 @@
 	session *Session
 	timer   *loop.Timer
 	deaf    bool
+	peer    string
+	joined  bool          // its handshake is complete
+	began   time.Duration // when the PDU under way began; 0: none is
 }
 
 // Listen starts a server at an address.
 func Listen(l *loop.Loop, address string, offer Offer, handler Handler) (*Server, error) {
-	s := &Server{offer: offer, handler: handler, loop: l, conns: map[*conn]bool{}}
+	s := &Server{offer: offer, handler: handler, loop: l, conns: map[*conn]bool{}, Guard: peers.New(peers.Terms{}), Judged: func(string, string, time.Duration) {}}
 	s.Buffers.Keep, s.Buffers.Stats = offer.Held, &l.Stats
 	s.subs.byID = map[uint16]*controller{}
 	var err error
@@ -105,10 +112,17 @@
 		s.Refused++
 		return nil
 	}
-	c := &conn{Conn: raw, server: s, deaf: s.Deaf}
 	now := s.loop.Now()
+	c := &conn{Conn: raw, server: s, deaf: s.Deaf, peer: raw.Peer.String()}
+	if v := s.Guard.Open(now, c.peer); v != peers.Admit {
+		s.Refused++
+		s.Judged(c.peer, v.String(), 0)
+		return nil
+	}
 	c.session = &Session{tear: c.tear, offer: &s.offer, subs: &s.subs, handler: s.handler, buffers: &s.Buffers, out: &raw.Out,
-		flush: c.flush, end: func() { c.stop(true) }, await: c.await, born: now, heard: now,
+		flush: c.flush, end: func() { c.stop(true) }, await: c.await,
+		ask:    func(n int) bool { return s.Guard.Ask(s.loop.Now(), c.peer, n) },
+		gotten: func(n int) { s.Guard.Got(s.loop.Now(), c.peer, n) }, born: now, heard: now,
 		commands: map[uint16]*Command{}, tags: map[uint16]*Command{}}
 	c.session.in.FromHost = true
 	if s.Tap != nil {
@@ -125,7 +139,17 @@
 	if c.deaf || c.server.DeafAll {
 		return len(b)
 	}
-	used := c.session.Input(c.server.loop.Now(), b)
+	now := c.server.loop.Now()
+	used := c.session.Input(now, b)
+	if !c.joined && c.session.phase == phaseLive {
+		c.joined = true
+		c.server.Guard.Joined(now, c.peer)
+	}
+	if used == len(b) {
+		c.began = 0
+	} else if used > 0 || c.began == 0 {
+		c.began = now
+	}
 	c.flush()
 	return used
 }
@@ -174,16 +198,25 @@
 	if !c.server.conns[c] {
 		return
 	}
+	now := c.server.loop.Now()
 	delete(c.server.conns, c)
 	c.server.loop.Cancel(c.timer)
 	c.session.Ended()
+	c.server.Guard.Close(now, c.peer, c.joined)
+	if c.session.breached {
+		c.server.Fatal++
+		if span := c.server.Guard.Breach(now, c.peer); span > 0 {
+			c.server.Judged(c.peer, "shut out", span)
+		}
+	}
 }
 
 // watch looks after deadlines: of the handshake, of keep alive, and of data that a client owes.
 func (c *conn) watch() {
 	now := c.server.loop.Now()
 	next := now + c.server.offer.Handshake/4
-	if d := c.session.Deadline(); d > 0 && now >= d {
+	if d := c.session.Deadline(); d > 0 && now >= d || c.began > 0 && c.server.Guard.Late(now, c.began) {
+		c.session.breached = !c.joined || c.began > 0 // a keep alive that stayed out is no breach
 		c.stop(false)
 		return
 	} else if d > 0 {
--- a/target/session.go
+++ b/target/session.go
@@ -60,6 +60,7 @@
 	state   commandState
 	ttag    uint16
 	got     int
+	asked   bool // its R2T is out and counts for its peer
 }
 
 // Tear answers a Read by half of its PDU and a broken connection: a fault of a stand-in.
@@ -110,6 +111,10 @@
 	tear    func()         // see Command.Tear
 	await   func(*Command) // data is awaited: Expire is to be called when that has lasted too long
 
+	ask      func(n int) bool // may the peer be asked for so much data now
+	gotten   func(n int)      // it has come, or will not
+	breached bool             // the connection ends for a breach
+
 	phase    phase
 	in, outF nvme.Framing
 	born     time.Duration
@@ -139,10 +144,11 @@
 
 // associations are the controllers of one server, and what waits for room.
 type associations struct {
-	last    uint16
-	byID    map[uint16]*controller
-	waiting []*Command // Writes whose R2T waits
-	address string
+	last            uint16
+	byID            map[uint16]*controller
+	waiting         []*Command // Writes whose R2T waits
+	granting, again bool
+	address         string
 }
 
 // DiscoveryNQN is the well-known name of discovery (Base 4.7).
@@ -170,6 +176,7 @@
 
 func (s *Session) fail(e *nvme.FatalError) {
 	if s.phase != phaseEnded {
+		s.breached = true
 		*s.out = nvme.AppendTerm(*s.out, nvme.TypeC2HTermReq, e)
 		s.end()
 	}
@@ -391,28 +398,54 @@
 	s.handler.Take(c)
 }
 
-// grant sends R2Ts while there is room for the data. One always fits, so nobody waits for ever.
+// grant sends R2Ts while there is room for the data, past those whose peer has its part already. One always
+// fits, so nobody waits for ever.
 func (a *associations) grant(o *Offer, buffers *loop.Buffers) {
-	for len(a.waiting) > 0 {
-		c := a.waiting[0]
-		if buffers.Held > 0 && buffers.Held+c.Bytes > o.Held {
-			return
-		}
-		a.waiting = a.waiting[1:]
+	if a.again = a.granting; a.granting { // sending an R2T ended a connection, which gave room
+		return
+	}
+	a.granting = true
+	for again := true; again; again = a.again {
+		a.again = false
+		a.round(o, buffers)
+	}
+	a.granting = false
+}
+
+// round goes once through what waits.
+func (a *associations) round(o *Offer, buffers *loop.Buffers) {
+	waiting := a.waiting
+	a.waiting = nil
+	for i, c := range waiting {
 		s := c.session
-		if c.state != receiving || s.phase == phaseEnded {
+		switch {
+		case c.state != receiving || s.phase == phaseEnded:
+			continue
+		case buffers.Held > 0 && buffers.Held+c.Bytes > o.Held:
+			a.waiting = append(a.waiting, waiting[i:]...)
+			return
+		case !s.ask(c.Bytes):
+			a.waiting = append(a.waiting, c)
 			continue
 		}
 		for s.nextTag++; s.tags[s.nextTag] != nil; {
 			s.nextTag++
 		}
-		c.ttag, c.Data = s.nextTag, buffers.Get(c.Bytes)
+		c.ttag, c.Data, c.asked = s.nextTag, buffers.Get(c.Bytes), true
 		s.tags[c.ttag] = c
 		*s.out = s.outF.AppendR2T(*s.out, c.CID(), c.ttag, 0, c.Bytes)
 		s.flush()
 	}
 }
 
+// came ends what was asked of the peer for a command.
+func (s *Session) came(c *Command) {
+	if c.asked {
+		c.asked = false
+		s.gotten(c.Bytes)
+	}
+}
+
 func (s *Session) data(p *nvme.PDU) error {
 	c := s.tags[p.TTAG()]
 	if c == nil || c.CID() != p.CCCID() {
@@ -437,6 +470,7 @@
 		return nil
 	}
 	delete(s.tags, c.ttag)
+	s.came(c)
 	if c.state == dropped {
 		s.forget(c)
 		return nil
@@ -449,6 +483,7 @@
 // forget drops a command that is not with the handler.
 func (s *Session) forget(c *Command) {
 	delete(s.commands, c.CID())
+	s.came(c)
 	c.state = over
 	s.buffers.Put(c.Data)
 	c.Data = nil
--- a/target/session_test.go
+++ b/target/session_test.go
@@ -31,7 +31,7 @@
 
 func newBench(t *testing.T, o *Offer, subs *associations) *bench {
 	b := &bench{t: t, host: nvme.Framing{FromHost: true}, in: nvme.Framing{MaxData: 1 << 20}}
-	b.s = &Session{offer: o, subs: subs, handler: b, buffers: &loop.Buffers{}, out: &b.out, flush: func() {}, await: func(*Command) {},
+	b.s = &Session{offer: o, subs: subs, handler: b, buffers: &loop.Buffers{}, out: &b.out, flush: func() {}, await: func(*Command) {}, ask: func(int) bool { return true }, gotten: func(int) {},
 		end: func() { b.ended = true; b.s.Ended() }, commands: map[uint16]*Command{}, tags: map[uint16]*Command{}}
 	b.s.in.FromHost = true
 	return b
