bench hostile: what honest clients have beside hostile peers

Need: hostile peers beside honest load are to be measured as ratios in one run.

The bench's stand-ins and gateway come up in one place.

--- a/bench/bench.go
+++ b/bench/bench.go
@@ -75,58 +75,68 @@
 	servers []*disk.Server
 }
 
-// Run measures.
-func Run(o Options) (*Report, error) {
+// raise brings up stand-ins and a gateway before them, its settings changed where asked; the caller lets it fall.
+func raise(change func(*settings.Gateway)) (r *rig, g *gateway.Instance, fall func(), err error) {
 	s, err := settings.Parse("bench.xml", script)
 	if err != nil {
-		return nil, err
+		return nil, nil, nil, err
 	}
-	r := &rig{script: s}
+	if change != nil {
+		change(s)
+	}
+	r = &rig{script: s}
 	if r.disks, err = loop.New(time.Minute); err != nil {
-		return nil, err
+		return nil, nil, nil, err
 	}
 	if r.clients, err = loop.New(time.Minute); err != nil {
-		return nil, err
+		return nil, nil, nil, err
 	}
 	model := rehearse.Model(s)
 	model.Meter = nil
 	registry, err := etcd.New("127.0.0.1:0")
 	if err != nil {
-		return nil, err
+		return nil, nil, nil, err
 	}
-	defer registry.Close()
-	cells := len(s.Volumes.List[0].CellList())
-	for cell := range cells {
+	for cell := range s.Volumes.List[0].CellList() {
 		d, err := disk.New(r.disks, "127.0.0.1:0", model, int64(cell))
 		if err != nil {
-			return nil, err
+			return nil, nil, nil, err
 		}
 		r.servers = append(r.servers, d)
 		value, _ := json.Marshal(members.Record{State: "on", Size: 1, Cell: cell})
 		registry.Set(s.List.Prefix+d.Address(), value)
 	}
-	ended := make(chan error, 2)
+	own := *s
+	own.Rehearsal = nil
+	own.List.Etcd[0].Endpoint = registry.Address()
+	if g, err = gateway.New(gateway.Options{Settings: &own, Seed: 1, Log: zerolog.Nop()}); err != nil {
+		return nil, nil, nil, err
+	}
+	ended := make(chan error, 3)
 	go func() { ended <- r.disks.Run() }()
 	go func() { ended <- r.clients.Run() }()
-	defer func() {
+	go func() { ended <- g.Serve(context.Background()) }()
+	time.Sleep(300 * time.Millisecond) // the list arrives
+	return r, g, func() {
+		g.Kill()
 		r.disks.Post(r.disks.Stop)
 		r.clients.Post(r.clients.Stop)
-		<-ended
-		<-ended
-	}()
+		for range 3 {
+			<-ended
+		}
+		registry.Close()
+	}, nil
+}
 
-	own := *s
-	own.Rehearsal = nil
-	own.List.Etcd[0].Endpoint = registry.Address()
-	g, err := gateway.New(gateway.Options{Settings: &own, Seed: 1, Log: zerolog.Nop()})
+// Run measures.
+func Run(o Options) (*Report, error) {
+	r, g, fall, err := raise(nil)
 	if err != nil {
 		return nil, err
 	}
-	go g.Serve(context.Background())
-	defer g.Kill()
-	time.Sleep(300 * time.Millisecond) // the list arrives
-
-	report := &Report{Servers: cells, Volumes: len(s.Volumes.List), Bytes: opBytes}
+	defer fall()
+	s := r.script
+	report := &Report{Servers: len(r.servers), Volumes: len(s.Volumes.List), Bytes: opBytes}
 	var direct, through []string
 	for _, d := range r.servers {
 		direct = append(direct, d.Address())
--- a/cmd/honeyplank/main.go
+++ b/cmd/honeyplank/main.go
@@ -291,9 +291,28 @@
 
 type benchCommand struct {
 	Ops     opsCommand     `cmd:"" default:"withargs" help:"What an op costs, through the gateway and straight at stand-ins."`
+	Hostile hostileCommand `cmd:"" help:"What honest clients have beside hostile peers."`
 	Sources sourcesCommand `cmd:"" help:"What following the list costs, by fleet and rate of change."`
 }
 
+type hostileCommand struct {
+	Connections int     `help:"Hostile connections." default:"1000"`
+	Seconds     float64 `help:"Length of each phase." default:"3"`
+	JSON        bool    `help:"Print the figures as JSON."`
+}
+
+func (c *hostileCommand) Run() error {
+	h, err := bench.Hostile(c.Connections, c.Seconds)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return json.NewEncoder(os.Stdout).Encode(h)
+	}
+	fmt.Print(h)
+	return nil
+}
+
 type sourcesCommand struct {
 	Nodes   []int   `help:"Sizes of the fleet." default:"10,100,1000,10000"`
 	Rates   []int   `help:"Changes a second." default:"1,100,1000"`
