The audit no longer excuses an op whose connection the gateway ended

Cause: rule 1 took every op for settled whose connection had closed before its op timeout, whoever closed it, so a gateway that hangs up instead of answering would have counted as keeping the rule.

Change: only clients that the rehearsal has leave are excused, for the gateway and time told; constructed runs hold a hang-up, and another gateway's client, against the rule.

--- a/audit/judge.go
+++ b/audit/judge.go
@@ -85,6 +85,11 @@
 	return false
 }
 
+// left tells whether a connection that ended at a time was one that its client broke.
+func (l *Log) left(gateway int, closed time.Duration) bool {
+	return slices.ContainsFunc(l.leaves[gateway], func(at time.Duration) bool { return at <= closed && closed <= at+slack })
+}
+
 func (l *Log) answers(s *settings.Gateway, v *Verdict) {
 	for _, r := range l.order {
 		t := r.opType(s)
@@ -101,7 +106,7 @@
 			v.breach("%v had %d answers", r, len(r.answers))
 		case ok && at-r.sent > timeout:
 			v.breach("%v was answered %v later, past its op timeout of %v", r, at-r.sent, timeout)
-		case !ok && r.closed > 0 && r.closed-r.sent <= timeout: // its client left, or the gateway died
+		case !ok && r.closed > 0 && r.closed-r.sent <= timeout && l.left(r.gateway, r.closed):
 		case !ok && !l.killed(r.gateway, r.sent-slack, r.sent+timeout):
 			v.breach("%v had no answer within its op timeout of %v", r, timeout)
 		}
--- a/audit/judge_test.go
+++ b/audit/judge_test.go
@@ -63,10 +63,18 @@
 		broken int // 0: none
 		build  func(r run)
 	}{
-		"answered in time":     {0, func(r run) { r.op(0, nvme.Read, 1, 1, 0, 999*ms, 0) }},
-		"answered late":        {1, func(r run) { r.op(0, nvme.Read, 1, 1, 0, 1001*ms, 0) }},
-		"never answered":       {1, func(r run) { r.op(0, nvme.Read, 1, 1, 0, 0, 0) }},
-		"its client left":      {0, func(r run) { r.op(0, nvme.Read, 1, 1, 0, 0, 0).closed = 300 * ms }},
+		"answered in time": {0, func(r run) { r.op(0, nvme.Read, 1, 1, 0, 999*ms, 0) }},
+		"answered late":    {1, func(r run) { r.op(0, nvme.Read, 1, 1, 0, 1001*ms, 0) }},
+		"never answered":   {1, func(r run) { r.op(0, nvme.Read, 1, 1, 0, 0, 0) }},
+		"its client left": {0, func(r run) {
+			r.op(0, nvme.Read, 1, 1, 0, 0, 0).closed = 300 * ms
+			r.leaves[0] = []time.Duration{290 * ms}
+		}},
+		"the gateway hung up": {1, func(r run) { r.op(0, nvme.Read, 1, 1, 0, 0, 0).closed = 300 * ms }},
+		"another client left": {1, func(r run) {
+			r.op(0, nvme.Read, 1, 1, 0, 0, 0).closed = 300 * ms
+			r.leaves[1] = []time.Duration{290 * ms}
+		}},
 		"its gateway died":     {0, func(r run) { r.op(0, nvme.Read, 1, 1, 0, 0, 0); r.kills[0] = []time.Duration{500 * ms} }},
 		"another gateway died": {1, func(r run) { r.op(0, nvme.Read, 1, 1, 0, 0, 0); r.kills[1] = []time.Duration{500 * ms} }},
 		"answered twice": {1, func(r run) {
--- a/audit/record.go
+++ b/audit/record.go
@@ -19,6 +19,7 @@
 	sends   []*sendRecord
 	told    []toldRecord
 	kills   map[int][]time.Duration
+	leaves  map[int][]time.Duration
 	starts  map[string][]startRecord
 	servers map[string]Place
 }
@@ -38,7 +39,6 @@
 	sent     time.Duration
 	answers  []answerRecord
 	closed   time.Duration // the connection ended; 0: it has not
-	byClient bool
 	sends    []*sendRecord
 }
 
@@ -76,7 +76,7 @@
 
 // NewLog begins to record now.
 func NewLog() *Log {
-	return &Log{start: time.Now(), ops: map[opKey]*opRecord{}, kills: map[int][]time.Duration{}, starts: map[string][]startRecord{}, servers: map[string]Place{}}
+	return &Log{start: time.Now(), ops: map[opKey]*opRecord{}, kills: map[int][]time.Duration{}, leaves: map[int][]time.Duration{}, starts: map[string][]startRecord{}, servers: map[string]Place{}}
 }
 
 func (l *Log) now() time.Duration { return time.Since(l.start) }
@@ -100,6 +100,14 @@
 	l.kills[gateway] = append(l.kills[gateway], l.now())
 }
 
+// Left notes that a client of a gateway is about to break its connection. Only then is nothing owed for its ops: a
+// gateway that hangs up has not answered.
+func (l *Log) Left(gateway int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leaves[gateway] = append(l.leaves[gateway], l.now())
+}
+
 // Server notes where a server stands, Started that it starts cold now with a capacity by its age.
 func (l *Log) Server(server string, p Place) {
 	l.mu.Lock()
--- a/load/load.go
+++ b/load/load.go
@@ -35,6 +35,7 @@
 	Address   string
 	Subsystem string
 	Tap       func() func(sent bool, b []byte)
+	Left      func() // where set, hears before a client breaks its connection
 }
 
 // Tally is what became of the ops of one type. A client's retries belong to its first try.
@@ -163,6 +164,9 @@
 	for _, i := range g.rng.Perm(len(g.clients))[:min(n, len(g.clients))] {
 		c := g.clients[i]
 		if c.link != nil {
+			if c.at.Left != nil {
+				c.at.Left()
+			}
 			c.link.Close()
 			c.Ended(c.link, nil)
 		}
--- a/rehearse/rehearse.go
+++ b/rehearse/rehearse.go
@@ -259,7 +259,7 @@
 		if err := st.gateway(n, "127.0.0.1:0"); err != nil {
 			return err
 		}
-		targets = append(targets, load.Target{Address: st.gateways[n].Address(), Subsystem: s.Listen.Subsystem, Tap: st.log.Client(n, int(s.Volumes.Block))})
+		targets = append(targets, load.Target{Address: st.gateways[n].Address(), Subsystem: s.Listen.Subsystem, Tap: st.log.Client(n, int(s.Volumes.Block)), Left: func() { st.log.Left(n) }})
 	}
 	r := s.Rehearsal
 	st.loop.AtTime(0, func() {
