A load that has stopped begins no further op

Cause: an arrival whose timer was set before Stop was sent all the same, to a gateway that was shutting down and closed the connection.

--- a/load/load.go
+++ b/load/load.go
@@ -214,8 +214,10 @@
 	}
 	due += time.Duration(g.rng.ExpFloat64() / (t.Rate * load / g.mean) * float64(time.Second))
 	g.loop.AtTime(due, func() {
-		g.op(i, due)
-		g.next(i, due)
+		if !g.stopped {
+			g.op(i, due)
+			g.next(i, due)
+		}
 	})
 }
 
