--- a/audit/judge_test.go
+++ b/audit/judge_test.go
@@ -10,7 +10,7 @@
 
 const script = `<honeyplank version="1">
   <listen address="127.0.0.1:0" subsystem="nqn.2026-12.x:s" host="nqn.2026-12.x:h"/>
-  <list prefix="/n/" ask-within="4s"><etcd endpoint="127.0.0.1:2379"/></list>
+  <list prefix="/n/" ask-within="4s" most="20000"><etcd endpoint="127.0.0.1:2379"/></list>
   <scheduler hosts="2" ordinal="0"/>
   <dispatches most="4"/>
   <op-types>
--- a/cmd/honeyplank/main_test.go
+++ b/cmd/honeyplank/main_test.go
@@ -70,7 +70,7 @@
 		t.Fatal(err)
 	}
 	bad := filepath.Join(t.TempDir(), "bad.xml")
-	os.WriteFile(bad, []byte(strings.Replace(string(text), `ask-within="4s"`, `ask-within="soon"`, 1)), 0o600)
+	os.WriteFile(bad, []byte(strings.Replace(string(text), `ask-within="4s" most="20000"`, `ask-within="soon"`, 1)), 0o600)
 	for _, c := range []struct {
 		arguments string
 		code      int
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -154,7 +154,7 @@
 		for _, e := range s.List.Etcd {
 			endpoints = append(endpoints, e.Endpoint)
 		}
-		g.etcd = members.New(endpoints, s.List.Prefix, s.Listen.Host, s.List.AskWithin.D(), hear(belief.Etcd))
+		g.etcd = members.New(endpoints, s.List.Prefix, s.Listen.Host, s.List.AskWithin.D(), s.List.Most, hear(belief.Etcd))
 	}
 	if d := s.List.DNS; d != nil {
 		terms := members.DNSTerms{Name: d.Name, Floor: d.Floor.D(), Ceiling: d.Ceiling.D(), Timeout: d.Timeout.D(), Seed: o.Seed}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -41,7 +41,7 @@
 // volume 1 lies on cells 0 and 1 by turns of an extent of 256 blocks; volume 2 on cell 1.
 const text = `<honeyplank version="1">
   <listen address="127.0.0.1:0" subsystem="nqn.2026-12.org.honeyplank:test" host="nqn.2026-12.org.honeyplank:gateway-0"/>
-  <list prefix="/honeyplank/nodes/" ask-within="2s"><etcd endpoint="127.0.0.1:1"/></list>
+  <list prefix="/honeyplank/nodes/" ask-within="2s" most="20000"><etcd endpoint="127.0.0.1:1"/></list>
   <scheduler hosts="1" ordinal="0"/>
   <dispatches most="4" advice-most="400ms"/>
   <op-types>
--- a/members/etcd.go
+++ b/members/etcd.go
@@ -9,12 +9,10 @@
 	"errors"
 	"fmt"
 	"net/netip"
-	"strings"
 	"sync"
 	"time"
 
 	"go.etcd.io/etcd/api/v3/etcdserverpb"
-	"go.etcd.io/etcd/api/v3/mvccpb"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
@@ -52,7 +50,6 @@
 // order, and none after Close.
 type Etcd struct {
 	endpoints []string
-	prefix    string
 	agent     string
 	tell      func(News)
 	mu        sync.Mutex
@@ -62,14 +59,14 @@
 	closed    bool
 	serial    int
 	quiet     time.Duration
-	revision  int64           // up to which everything has been told
-	known     map[string]Node // what was told last
+	list      list
 }
 
 // New makes a source that asks the endpoints in turn, under the name agent. A watch that has said nothing for
-// quiet, not even that it has nothing to say, counts as broken.
-func New(endpoints []string, prefix, agent string, quiet time.Duration, tell func(News)) *Etcd {
-	return &Etcd{endpoints: endpoints, prefix: prefix, agent: agent, quiet: quiet, tell: tell, known: map[string]Node{}}
+// quiet, not even that it has nothing to say, counts as broken, and so does a call that takes as long. At most most
+// nodes are kept.
+func New(endpoints []string, prefix, agent string, quiet time.Duration, most int, tell func(News)) *Etcd {
+	return &Etcd{endpoints: endpoints, agent: agent, quiet: quiet, tell: tell, list: list{prefix: prefix, most: most, known: map[string]Node{}}}
 }
 
 // Watch follows the list, or stops: from the revision last told where there is one and its history is still
@@ -108,29 +105,26 @@
 		defer e.running.Done()
 		defer cancel()
 		if err := e.run(ctx, endpoint, watch, serial); err != nil {
-			e.deliver(serial, News{Kind: honeyplank.Refused, Err: err}, nil)
+			e.locked(serial, func() (*News, error) { return &News{Kind: honeyplank.Refused, Err: err}, nil })
 		}
 	}()
 }
 
-// deliver tells news made of pairs, unless the watch it is of has been replaced; it tells whether it has not.
-func (e *Etcd) deliver(serial int, n News, events []*mvccpb.Event) bool {
+// errReplaced tells that a watch is no longer the one that counts.
+var errReplaced = errors.New("members: replaced")
+
+// locked changes the list and tells what comes of it, unless the watch it is of has been replaced.
+func (e *Etcd) locked(serial int, change func() (*News, error)) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if serial != e.serial || e.closed {
-		return false
-	}
-	if n.Kind == honeyplank.Whole {
-		clear(e.known)
+		return errReplaced
 	}
-	for _, event := range events {
-		e.note(&n, event.Kv, event.Type == mvccpb.DELETE)
+	news, err := change()
+	if news != nil {
+		e.tell(*news)
 	}
-	if n.Revision > 0 {
-		e.revision = n.Revision
-	}
-	e.tell(n)
-	return true
+	return err
 }
 
 // Close ends the watch and waits for what runs.
@@ -144,67 +138,49 @@
 	e.running.Wait()
 }
 
-// pageSize bounds one answer to a range.
-const pageSize = 1000
-
-// patience bounds one call, and the silence of a connection.
-const patience = 5 * time.Second
-
-// errHistory tells that a watch can't go on from where it was: the whole list is needed.
-var errHistory = errors.New("members: the history since the last revision is gone")
-
 func (e *Etcd) run(ctx context.Context, endpoint string, watch bool, serial int) error {
 	c, err := grpc.NewClient("passthrough:///"+endpoint, grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithUserAgent(e.agent),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 2 * patience, Timeout: patience}))
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 2 * e.quiet, Timeout: e.quiet}))
 	if err != nil {
 		return err
 	}
 	defer c.Close()
 	e.mu.Lock()
-	from := e.revision
+	told := e.list.revision > 0
 	e.mu.Unlock()
-	for watch && from > 0 {
-		if err := e.follow(ctx, c, endpoint, serial, from); !errors.Is(err, errHistory) {
+	if watch && told {
+		if err := e.follow(ctx, c, endpoint, serial); !errors.Is(err, errHistory) {
 			return err
 		}
-		from = 0
 	}
-	if from, err = e.whole(ctx, c, endpoint, serial); err != nil || !watch {
+	if err := e.whole(ctx, c, endpoint, serial); err != nil || !watch {
 		return err
 	}
-	return e.follow(ctx, c, endpoint, serial, from)
+	return e.follow(ctx, c, endpoint, serial)
 }
 
-// whole reads the list, in pages, all at the revision of the first, which it returns.
-func (e *Etcd) whole(ctx context.Context, c *grpc.ClientConn, endpoint string, serial int) (int64, error) {
-	kv, from, end := etcdserverpb.NewKVClient(c), []byte(e.prefix), prefixEnd(e.prefix)
-	news := News{Kind: honeyplank.Whole}
-	var events []*mvccpb.Event
+// pages is into how many answers a list of the most nodes is cut.
+const pages = 20
+
+// whole reads the list, in pages.
+func (e *Etcd) whole(ctx context.Context, c *grpc.ClientConn, endpoint string, serial int) error {
+	kv, end, r := etcdserverpb.NewKVClient(c), prefixEnd(e.list.prefix), e.list.read()
 	for more := true; more; {
-		call, cancel := context.WithTimeout(ctx, patience)
-		r, err := kv.Range(call, &etcdserverpb.RangeRequest{Key: from, RangeEnd: end, Limit: pageSize, Revision: news.Revision})
+		call, cancel := context.WithTimeout(ctx, e.quiet)
+		page, err := kv.Range(call, &etcdserverpb.RangeRequest{Key: r.from, RangeEnd: end, Limit: int64(max(1, e.list.most/pages)), Revision: r.revision})
 		cancel()
-		if err != nil {
-			return 0, fmt.Errorf("members: range at %s: %w", endpoint, err)
-		}
-		if news.Revision == 0 {
-			news.Revision = r.GetHeader().GetRevision()
+		if err == nil {
+			more, err = r.page(page)
 		}
-		for _, pair := range r.Kvs {
-			events = append(events, &mvccpb.Event{Kv: pair})
-		}
-		if more = r.More && len(r.Kvs) > 0; more {
-			from = append(append([]byte(nil), r.Kvs[len(r.Kvs)-1].Key...), 0)
+		if err != nil {
+			return fmt.Errorf("members: range at %s: %w", endpoint, err)
 		}
 	}
-	if !e.deliver(serial, news, events) {
-		return 0, context.Canceled
-	}
-	return news.Revision, nil
+	return e.locked(serial, func() (*News, error) { return e.list.whole(r), nil })
 }
 
-// follow watches from after a revision until the watch breaks. The changes of one revision are told together.
-func (e *Etcd) follow(ctx context.Context, c *grpc.ClientConn, endpoint string, serial int, from int64) error {
+// follow watches from after the revision told until the watch breaks.
+func (e *Etcd) follow(ctx context.Context, c *grpc.ClientConn, endpoint string, serial int) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	wrap := func(err error) error {
@@ -213,18 +189,21 @@
 		}
 		return fmt.Errorf("members: watch at %s: %w", endpoint, err)
 	}
+	from := int64(0)
+	if err := e.locked(serial, func() (*News, error) { e.list.watch(); from = e.list.revision; return nil, nil }); err != nil {
+		return err
+	}
 	stream, err := etcdserverpb.NewWatchClient(c).Watch(ctx)
 	if err != nil {
 		return wrap(err)
 	}
 	err = stream.Send(&etcdserverpb.WatchRequest{RequestUnion: &etcdserverpb.WatchRequest_CreateRequest{
-		CreateRequest: &etcdserverpb.WatchCreateRequest{Key: []byte(e.prefix), RangeEnd: prefixEnd(e.prefix), StartRevision: from + 1, ProgressNotify: true, Fragment: true}}})
+		CreateRequest: &etcdserverpb.WatchCreateRequest{Key: []byte(e.list.prefix), RangeEnd: prefixEnd(e.list.prefix), StartRevision: from + 1, ProgressNotify: true, Fragment: true}}})
 	if err != nil {
 		return wrap(err)
 	}
 	heard := make(chan struct{}, 1)
 	go e.nudge(ctx, cancel, stream, heard)
-	var held []*mvccpb.Event // fragments of a response
 	for {
 		r, err := stream.Recv()
 		if err != nil {
@@ -234,31 +213,11 @@
 		case heard <- struct{}{}:
 		default:
 		}
-		revision := r.GetHeader().GetRevision()
-		switch {
-		case r.Canceled && r.CompactRevision > 0, r.Created && revision < from: // compacted, or another history
-			return errHistory
-		case r.Canceled:
-			return wrap(fmt.Errorf("cancelled: %s", r.CancelReason))
-		case r.Created: // nothing may come for long: the watch stands
-			e.deliver(serial, News{Kind: honeyplank.Changes}, nil)
-			continue
-		}
-		for _, event := range r.Events { // what was told already, or goes back, is passed over
-			if event.Kv.ModRevision > from {
-				held = append(held, event)
-			}
-		}
-		if r.Fragment {
-			continue
-		}
-		if revision > from {
-			from = revision
-		}
-		if len(held) > 0 && !e.deliver(serial, News{Kind: honeyplank.Changes, Revision: from}, held) {
-			return context.Canceled
+		if err := e.locked(serial, func() (*News, error) { return e.list.hear(r) }); errors.Is(err, errHistory) || errors.Is(err, errReplaced) {
+			return err
+		} else if err != nil {
+			return wrap(err)
 		}
-		held = nil
 	}
 }
 
@@ -288,23 +247,6 @@
 	}
 }
 
-// note adds a pair to news. A node is gone by its deletion alone; a value that makes no sense changes nothing.
-func (e *Etcd) note(news *News, pair *mvccpb.KeyValue, deleted bool) {
-	address := strings.TrimPrefix(string(pair.Key), e.prefix)
-	n := e.known[address]
-	n.Address, n.Gone = address, deleted
-	if !deleted {
-		r, err := ParseRecord(address, pair.Value)
-		if err != nil {
-			news.Skipped = append(news.Skipped, err.Error())
-			return
-		}
-		n.Record = r
-	}
-	e.known[address] = n
-	news.Nodes = append(news.Nodes, n)
-}
-
 // ParseRecord reads the value of a node's key.
 func ParseRecord(address string, value []byte) (r Record, err error) {
 	if _, err := netip.ParseAddrPort(address); err != nil {
--- a/members/etcd_test.go
+++ b/members/etcd_test.go
@@ -19,7 +19,7 @@
 		t.Fatal(err)
 	}
 	out := make(chan News, 100)
-	e := New([]string{s.Address()}, prefix, "test", 400*time.Millisecond, func(n News) { out <- n })
+	e := New([]string{s.Address()}, prefix, "test", 400*time.Millisecond, 20000, func(n News) { out <- n })
 	t.Cleanup(func() { e.Close(); s.Close() })
 	return s, e, out
 }
@@ -145,3 +145,26 @@
 		t.Errorf("%+v", n)
 	}
 }
+
+// TestLongHistory has a watch go on after thousands of revisions: etcd sends them in several responses, each with
+// the present revision in its header. None may be taken for told already.
+func TestLongHistory(t *testing.T) {
+	s, e, news := watch(t)
+	e.Watch(true)
+	next(t, news, honeyplank.Whole)
+	s.Set(prefix+"127.0.0.1:1", []byte(`{"state":"on"}`))
+	next(t, news, honeyplank.Changes) // the watch stands
+	s.Break()
+	next(t, news, honeyplank.Refused)
+	for i := range 3500 {
+		s.Set(fmt.Sprintf("%s127.0.0.1:%d", prefix, 1000+i), []byte(`{"state":"on"}`))
+	}
+	e.Watch(true)
+	told := 0
+	for told < 3500 {
+		told += len(next(t, news, honeyplank.Changes).Nodes)
+	}
+	if told != 3500 {
+		t.Errorf("%d of 3500 told", told)
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -79,6 +79,7 @@
 		Believe   *Believe     `xml:"believe"`
 		Prefix    string       `xml:"prefix,attr"`
 		AskWithin Span         `xml:"ask-within,attr"`
+		Most      int          `xml:"most,attr"`
 	} `xml:"list"`
 	Scheduler struct {
 		Hosts   int  `xml:"hosts,attr"`
@@ -343,6 +344,7 @@
 		{g.Rules.Cold == nil || g.Rules.Cold.From > 0 && g.Rules.Cold.Window > 0, rules, "cold has from or window 0", "leave the element out where servers start warm"},
 		{g.Rules.Budget == nil || g.Rules.Budget.Window > 0, rules, "budget has window 0", "leave the element out where there is no budget"},
 		{g.List.AskWithin > 0, one("list"), "ask-within is 0", "such as 10s"},
+		{g.List.Most > 0, one("list"), "most is 0", "more than the fleet will ever have, such as 20000"},
 		{l.Peer == nil || l.Peer.Connections >= 2 && l.Peer.Window > 0 && l.Peer.Shut > 0 && l.Peer.Most >= l.Peer.Shut && l.Peer.Bytes >= l.Transfer, limits,
 			"peer has under 2 connections, bytes under transfer, window or shut 0, or most under shut", "a host needs two connections, and one transfer must fit"},
 		{len(g.List.Etcd) > 0 || g.List.DNS != nil, one("list"), "the list has no source", "etcd, dns, or both"},
--- a/standin/etcd/etcd.go
+++ b/standin/etcd/etcd.go
@@ -351,6 +351,9 @@
 	return s.header()
 }
 
+// batch is how many revisions one response tells of at most.
+const batch = 1000
+
 func (s *Server) follow(ctx context.Context, id int64, r *etcdserverpb.WatchCreateRequest, send func(*etcdserverpb.WatchResponse) error, end func(error)) {
 	s.mu.Lock()
 	next, breaks, down := r.StartRevision, s.breaks, s.down
@@ -379,14 +382,21 @@
 		changed, late, mute := s.changed, s.late, s.mute
 		out := &etcdserverpb.WatchResponse{Header: s.header(), WatchId: id}
 		from := sort.Search(len(s.events), func(i int) bool { return s.events[i].Kv.ModRevision >= next })
+		sent, more := next, false
 		for _, e := range s.events[from:] {
+			// A long history is sent in pieces of so many revisions, each with the present revision in its header.
+			if more = e.Kv.ModRevision >= sent+batch; more {
+				next = e.Kv.ModRevision
+				break
+			}
 			if in(string(e.Kv.Key), r.Key, r.RangeEnd) {
 				out.Events = append(out.Events, e)
 			}
 		}
-		if mute {
-			out.Events = nil
-		} else {
+		switch {
+		case mute:
+			out.Events, next, more = nil, sent, false
+		case !more:
 			next = s.revision + 1
 		}
 		s.mu.Unlock()
@@ -403,6 +413,9 @@
 		if len(out.Events) > 0 && send(out) != nil {
 			return
 		}
+		if more {
+			continue
+		}
 		select {
 		case <-changed:
 		case <-breaks:
