--- a/initiator/session.go
+++ b/initiator/session.go
@@ -177,6 +177,9 @@
 		if c.Status().Code() == nvme.Success && v.read != v.got {
 			return breach(nvme.FatalSequence, p, "success after %d of %d bytes", v.got, v.read)
 		}
+		if c.Status().Code() == nvme.Success && v.asked != len(v.data) && v.write { // it can't have been written
+			return breach(nvme.FatalSequence, p, "success of a write after %d of %d bytes", v.asked, len(v.data))
+		}
 		s.done(c, v)
 		return nil
 	case nvme.TypeC2HData:
--- a/members/dns.go
+++ b/members/dns.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand"
-
 	"net/netip"
 	"regexp"
 	"strconv"
@@ -16,6 +14,7 @@
 	"github.com/miekg/dns"
 
 	"honeyplank"
+	"honeyplank/names"
 )
 
 // DNSTerms say whom to ask for what. docs/dns.md gives the convention of the records.
@@ -33,10 +32,10 @@
 type DNS struct {
 	t       DNSTerms
 	tell    func(News)
-	rng     *rand.Rand
+	asker   *names.Asker
+	ask     func(server, name string, kind uint16) (*dns.Msg, error)
 	cancel  context.CancelFunc
 	running sync.WaitGroup
-	first   int // the server asked first: the one that answered last
 	Queries int // sent so far; read after Close
 }
 
@@ -44,7 +43,9 @@
 func NewDNS(t DNSTerms, tell func(News)) *DNS {
 	t.Name = dns.Fqdn(t.Name)
 	ctx, cancel := context.WithCancel(context.Background())
-	d := &DNS{t: t, tell: tell, rng: rand.New(rand.NewSource(t.Seed)), cancel: cancel}
+	d := &DNS{t: t, tell: tell, cancel: cancel}
+	d.asker = names.New(names.Terms{Servers: len(t.Servers), Floor: t.Floor, Ceiling: t.Ceiling, Spread: spread, Seed: t.Seed})
+	d.ask = func(server, name string, kind uint16) (*dns.Msg, error) { return d.exchange(ctx, server, name, kind) }
 	d.running.Add(1)
 	go func() {
 		defer d.running.Done()
@@ -59,60 +60,50 @@
 	d.running.Wait()
 }
 
-// run asks, tells, and asks again when the shortest lifetime in the answer is over, or soon after a failure,
-// ever later. Each pause is drawn, so that many schedulers do not ask at once: from three quarters of the
-// lifetime to all of it.
+// spread is the share of a pause that is drawn: from three quarters of a lifetime to all of it.
+const spread = 0.25
+
+// run asks as package names says, and tells the outcome of each round.
 func (d *DNS) run(ctx context.Context) {
-	pause := time.Duration(0)
+	start := time.Now()
+	var failures error
 	for {
-		news, life := d.ask(ctx)
-		if ctx.Err() != nil {
-			return
-		}
-		d.tell(news)
-		if news.Err != nil {
-			pause = min(max(2*pause, d.t.Floor), d.t.Ceiling)
-		} else {
-			pause = 0
-		}
-		wait := time.NewTimer(d.jitter(max(life, pause, d.t.Floor)))
+		next := d.asker.Next()
+		wait := time.NewTimer(next.At - time.Since(start))
 		select {
 		case <-ctx.Done():
 			wait.Stop()
 			return
 		case <-wait.C:
 		}
+		server := d.t.Servers[next.Server]
+		news, life, err := d.list(server)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			failures = errors.Join(failures, fmt.Errorf("members: %s asked for %s: %w", server, d.t.Name, err))
+			if !d.asker.Failed(time.Since(start)) {
+				continue
+			}
+			news = News{Kind: honeyplank.Refused, Err: failures}
+		} else {
+			d.asker.Answered(time.Since(start), time.Duration(life)*time.Second)
+		}
+		failures = nil
+		d.tell(news)
 	}
 }
 
-func (d *DNS) jitter(span time.Duration) time.Duration {
-	return span - time.Duration(d.rng.Float64()*float64(span)/4)
-}
-
 // errNegative tells that a name has no such records; life is for how long that may be believed.
 type errNegative struct{ life uint32 }
 
 func (errNegative) Error() string { return "there are no such records" }
 
-// ask gets the list from the first server that gives one.
-func (d *DNS) ask(ctx context.Context) (News, time.Duration) {
-	var all error
-	for i := range d.t.Servers {
-		n := (d.first + i) % len(d.t.Servers)
-		news, life, err := d.list(ctx, d.t.Servers[n])
-		if err == nil {
-			d.first = n
-			return news, min(max(time.Duration(life)*time.Second, d.t.Floor), d.t.Ceiling)
-		}
-		all = errors.Join(all, fmt.Errorf("members: %s asked for %s: %w", d.t.Servers[n], d.t.Name, err))
-	}
-	return News{Kind: honeyplank.Refused, Err: all}, 0
-}
-
 // list gets the SRV records and the addresses of their targets from one server, with the shortest lifetime.
-func (d *DNS) list(ctx context.Context, server string) (News, uint32, error) {
+func (d *DNS) list(server string) (News, uint32, error) {
 	news := News{Kind: honeyplank.Whole}
-	m, err := d.exchange(ctx, server, d.t.Name, dns.TypeSRV)
+	m, err := d.ask(server, d.t.Name, dns.TypeSRV)
 	var negative errNegative
 	if errors.As(err, &negative) { // an answer: there is none
 		return news, negative.life, nil
@@ -142,7 +133,7 @@
 			if len(addresses[target]) > 0 {
 				break
 			}
-			a, err := d.exchange(ctx, server, target, kind)
+			a, err := d.ask(server, target, kind)
 			if errors.As(err, &negative) {
 				life = min(life, negative.life)
 				continue
@@ -165,7 +156,13 @@
 			break // one target is one server
 		}
 	}
-	news.Nodes = lowest(found)
+	records := make([]names.Record, len(found))
+	for i, s := range found {
+		records[i] = names.Record{Server: s.node.Address, Cell: s.node.Cell, Priority: s.priority, Drains: s.node.State != "on"}
+	}
+	for _, i := range names.Choose(records) {
+		news.Nodes = append(news.Nodes, found[i].node)
+	}
 	return news, life, nil
 }
 
@@ -282,29 +279,3 @@
 	s.node.StartedMS = 1000 * started
 	return s, nil
 }
-
-// lowest keeps of each cell the records of the lowest priority that are on, and all that drain. Of two records
-// of one server the one that drains counts.
-func lowest(all []srv) (nodes []Node) {
-	least, drains, seen := map[int]uint16{}, map[string]bool{}, map[string]bool{}
-	for _, s := range all {
-		if s.node.State != "on" {
-			drains[s.node.Address] = true
-		}
-	}
-	for _, s := range all {
-		if p, ok := least[s.node.Cell]; !drains[s.node.Address] && (!ok || s.priority < p) {
-			least[s.node.Cell] = s.priority
-		}
-	}
-	for _, s := range all {
-		if drained := drains[s.node.Address]; !seen[s.node.Address] && (drained || s.priority == least[s.node.Cell]) {
-			seen[s.node.Address] = true
-			if drained {
-				s.node.State = "draining"
-			}
-			nodes = append(nodes, s.node)
-		}
-	}
-	return nodes
-}
--- /dev/null
+++ b/names/names.go
@@ -0,0 +1,143 @@
+// Package names decides whom to ask for the list in DNS and when, and which records of an answer count. It does no
+// I/O, has no clock and no goroutine: outcomes go in, the next question comes out. Package members asks.
+package names
+
+import (
+	"math/rand"
+	"time"
+)
+
+// Terms bound the asking.
+type Terms struct {
+	Servers int           // name servers, asked in turn
+	Floor   time.Duration // the least pause, whatever a record's lifetime
+	Ceiling time.Duration // the longest
+	Spread  float64       // share of a pause that is drawn, so that many schedulers do not ask at once
+	Seed    int64
+}
+
+// Ask is the next question: which server, and when, as a span since start.
+type Ask struct {
+	Server int
+	At     time.Duration
+}
+
+type state int
+
+const (
+	settled state = iota // the server asked first gave the last answer, or none was asked yet
+	trying               // servers before have failed in this round
+	failing              // all servers failed in the round before
+)
+
+type input int
+
+const (
+	inAnswer input = iota
+	inFailure
+	inLastFailure // of the last server that this round had left
+)
+
+// step tells the state after an outcome, what is to be done, and whether the round's outcome is to be told.
+type step struct {
+	next state
+	do   func(*Asker, time.Duration, time.Duration)
+	tell bool
+}
+
+// steps is complete: every state knows every input. Pauses after failed rounds double from the floor up to the
+// ceiling: it guards against a crowd asking a name server that is barely there; it could harm where all servers were
+// out only for a moment, by up to a ceiling.
+var steps = map[state]map[input]step{
+	settled: {inAnswer: {settled, (*Asker).rest, true}, inFailure: {trying, (*Asker).turn, false}, inLastFailure: {failing, (*Asker).back, true}},
+	trying:  {inAnswer: {settled, (*Asker).rest, true}, inFailure: {trying, (*Asker).turn, false}, inLastFailure: {failing, (*Asker).back, true}},
+	failing: {inAnswer: {settled, (*Asker).rest, true}, inFailure: {failing, (*Asker).turn, false}, inLastFailure: {failing, (*Asker).back, true}},
+}
+
+// Asker decides the next question from the outcome of the last.
+type Asker struct {
+	t      Terms
+	rng    *rand.Rand
+	state  state
+	first  int // the server asked first: the one that answered last
+	failed int // servers of this round
+	pause  time.Duration
+	next   Ask
+}
+
+// New makes one; its first question is due at once.
+func New(t Terms) *Asker { return &Asker{t: t, rng: rand.New(rand.NewSource(t.Seed))} }
+
+// Next is the question that is due next.
+func (a *Asker) Next() Ask { return a.next }
+
+// Answered tells that the question was answered, also that there is nothing; life is how long that holds. Failed tells
+// that it was not; it returns whether all servers have failed now, which is the round's outcome.
+func (a *Asker) Answered(now, life time.Duration) { a.step(inAnswer, now, life) }
+
+// Failed: see Answered.
+func (a *Asker) Failed(now time.Duration) (all bool) {
+	in := inFailure
+	if a.failed++; a.failed >= a.t.Servers {
+		in = inLastFailure
+	}
+	return a.step(in, now, 0)
+}
+
+func (a *Asker) step(in input, now, life time.Duration) bool {
+	s := steps[a.state][in]
+	a.state = s.next
+	s.do(a, now, life)
+	return s.tell
+}
+
+// rest waits until the answer's lifetime is over and asks the same server first.
+func (a *Asker) rest(now, life time.Duration) {
+	a.first, a.failed, a.pause = a.next.Server, 0, 0
+	a.next.At = now + a.draw(life)
+}
+
+// turn asks the next server at once.
+func (a *Asker) turn(now, _ time.Duration) {
+	a.next = Ask{(a.next.Server + 1) % a.t.Servers, now}
+}
+
+// back waits, each time twice as long, and begins with the server that answered last.
+func (a *Asker) back(now, _ time.Duration) {
+	a.failed, a.pause = 0, min(max(2*a.pause, a.t.Floor), a.t.Ceiling)
+	a.next = Ask{a.first, now + a.draw(a.pause)}
+}
+
+func (a *Asker) draw(span time.Duration) time.Duration {
+	span = min(max(span, a.t.Floor), a.t.Ceiling)
+	return span - time.Duration(a.rng.Float64()*a.t.Spread*float64(span))
+}
+
+// Record is an SRV record as far as its choice goes.
+type Record struct {
+	Server   string
+	Cell     int
+	Priority uint16
+	Drains   bool
+}
+
+// Choose returns the places of the records that count: of each cell those of the lowest priority that do not drain,
+// and all that drain, each server once. Of two records of one server the one that drains counts.
+func Choose(all []Record) (chosen []int) {
+	least, drains, seen := map[int]uint16{}, map[string]bool{}, map[string]bool{}
+	for _, r := range all {
+		drains[r.Server] = drains[r.Server] || r.Drains
+	}
+	for _, r := range all {
+		if p, ok := least[r.Cell]; !drains[r.Server] && (!ok || r.Priority < p) {
+			least[r.Cell] = r.Priority
+		}
+	}
+	for i, r := range all {
+		if !seen[r.Server] && (r.Drains || !drains[r.Server] && r.Priority == least[r.Cell]) {
+			seen[r.Server] = true
+			chosen = append(chosen, i)
+		}
+	}
+	return chosen
+}
--- a/target/session.go
+++ b/target/session.go
@@ -342,6 +342,11 @@
 func (s *Session) check(c *nvme.Command, data []byte) (status nvme.Status, size int) {
 	switch c.Opcode() {
 	case nvme.Read, nvme.Write, nvme.Flush:
+	case nvme.Fabrics:
+		if c.FabricsType() == nvme.FabricsConnect { // the queue has been made (Base 3.3.2.2)
+			return nvme.SequenceError | nvme.DoNotRetry, 0
+		}
+		fallthrough
 	default:
 		return nvme.InvalidOpcode | nvme.DoNotRetry, 0
 	}
--- a/target/session_test.go
+++ b/target/session_test.go
@@ -78,12 +78,16 @@
 }
 
 // pair is a live admin queue with a live I/O queue.
-func pair(t *testing.T) (admin, io *bench) {
+func pair(t *testing.T) (admin, io *bench) { t.Helper(); return pairWith(t, nvme.Init{}) }
+
+// pairWith is a pair whose I/O queue has digests as i says.
+func pairWith(t *testing.T, i nvme.Init) (admin, io *bench) {
 	t.Helper()
 	o, subs := offer(), &associations{byID: map[uint16]*controller{}, address: "127.0.0.1:4420"}
 	admin, io = newBench(t, o, subs), newBench(t, o, subs)
 	admin.say(nvme.AppendInit(nil, nvme.TypeICReq, nvme.Init{}))
-	io.say(nvme.AppendInit(nil, nvme.TypeICReq, nvme.Init{}))
+	io.say(nvme.AppendInit(nil, nvme.TypeICReq, i))
+	io.host.HeaderDigest, io.host.DataDigest, io.in.HeaderDigest, io.in.DataDigest = i.HeaderDigest, i.DataDigest, i.HeaderDigest, i.DataDigest
 	if s := admin.connect(0, nvme.DynamicController, 32, o.Subsystem); s != nvme.Success {
 		t.Fatalf("Connect: %#x", s)
 	}
