--- /dev/null
+++ b/cmd/honeyplank/corpus.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"honeyplank/corpus"
+)
+
+type corpusCommand struct {
+	Root   string `help:"The source tree." default:"." type:"existingdir"`
+	Target string `help:"Only targets whose name or package matches this pattern."`
+
+	Replay   replayCommand   `cmd:"" help:"Run every input through its target."`
+	Grow     growCommand     `cmd:"" help:"Fuzz each target for a time and keep what reached something new."`
+	Minimise minimiseCommand `cmd:"" help:"Drop the inputs that reach nothing that others don't, and rewrite those of older targets."`
+	Stats    statsCommand    `cmd:"" help:"Tell what each target has and reaches."`
+	Sabotage sabotageCommand `cmd:"" help:"Put seeded faults into parsers and state machines, and see whether their targets find them."`
+}
+
+func (c *corpusCommand) targets() ([]corpus.Target, error) {
+	targets, err := corpus.Find(c.Root, c.Target)
+	if err != nil {
+		err = invalid{err}
+	}
+	return targets, err
+}
+
+var errCorpus = errors.New("an input fails or is not one for its target")
+
+// faults prints what was found wrong and counts it.
+func faults(r corpus.Result, failed *bool) {
+	for _, f := range r.Faults {
+		fmt.Println(f)
+		*failed = true
+	}
+}
+
+func verdict(failed bool) error {
+	if failed {
+		return errCorpus
+	}
+	return nil
+}
+
+type replayCommand struct{}
+
+func (*replayCommand) Run(c *corpusCommand) error {
+	targets, err := c.targets()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signals()
+	defer stop()
+	failed := false
+	err = corpus.Replay(ctx, c.Root, targets, func(r corpus.Result) {
+		fmt.Printf("%-28s %5d inputs %8d bytes %8s\n", r.Target, r.Files, r.Bytes, r.Took.Round(10*time.Millisecond))
+		faults(r, &failed)
+	})
+	return errors.Join(err, verdict(failed))
+}
+
+type growCommand struct {
+	Time    time.Duration `help:"For how long, each target." default:"60s"`
+	Workers int           `help:"Inputs tried at a time." default:"4"`
+	Most    int64         `help:"Longest input that is kept, in bytes." default:"2048"`
+}
+
+func (g *growCommand) Run(c *corpusCommand) error {
+	targets, err := c.targets()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signals()
+	defer stop()
+	failed := false
+	err = corpus.Grow(ctx, c.Root, targets, g.Time, g.Workers, g.Most, func(r corpus.Result) {
+		fmt.Printf("%-28s %10d inputs tried in %6s, %4d kept, now %5d\n", r.Target, r.Tried, r.Took.Round(time.Second), len(r.Added), r.Files)
+		if r.Crash != "" {
+			fmt.Printf("a finding, kept as %s; go test -run '%s/%s' ./%s plays it\n", r.Crash, r.Target.Name, r.Crash, r.Target.Package)
+		}
+		faults(r, &failed)
+	})
+	return errors.Join(err, verdict(failed))
+}
+
+type minimiseCommand struct{}
+
+func (*minimiseCommand) Run(c *corpusCommand) error {
+	targets, err := c.targets()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signals()
+	defer stop()
+	failed := false
+	err = corpus.Minimise(ctx, c.Root, targets, func(r corpus.Result) {
+		fmt.Printf("%-28s %5d inputs dropped, %5d stay, %d rewritten; %.1f%% of the package's statements, seeds alone %.1f%%\n",
+			r.Target, len(r.Dropped), r.Files, r.Upgraded, 100*r.Covered, 100*r.Seeds)
+		faults(r, &failed)
+	})
+	return errors.Join(err, verdict(failed))
+}
+
+type statsCommand struct{}
+
+func (*statsCommand) Run(c *corpusCommand) error {
+	targets, err := c.targets()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signals()
+	defer stop()
+	fmt.Printf("%-28s %8s %9s   share of the package's statements: %5s %11s\n", "target", "inputs", "bytes", "seeds", "with corpus")
+	return corpus.Stats(ctx, c.Root, targets, func(r corpus.Result) {
+		fmt.Printf("%-28s %8d %9d %42.1f%% %10.1f%%\n", r.Target, r.Files, r.Bytes, 100*r.Seeds, 100*r.Covered)
+	})
+}
+
+type sabotageCommand struct {
+	Runs int `help:"Inputs that a target may make after its corpus has found nothing." default:"200000"`
+}
+
+func (s *sabotageCommand) Run(c *corpusCommand) error {
+	targets, err := c.targets()
+	if err != nil {
+		return err
+	}
+	wanted := map[string]bool{}
+	for _, t := range targets {
+		wanted[t.String()] = true
+	}
+	var list []corpus.Sabotage
+	for _, x := range corpus.Sabotages {
+		if wanted[x.Package+" "+x.Target] {
+			list = append(list, x)
+		}
+	}
+	ctx, stop := signals()
+	defer stop()
+	missed := 0
+	err = corpus.Try(ctx, c.Root, list, s.Runs, func(f corpus.Found) {
+		word := fmt.Sprintf("found by input %d of the corpus", f.Replayed)
+		switch {
+		case !f.Found:
+			missed++
+			word = fmt.Sprintf("MISSED in %d and %d inputs", f.Replayed, f.Fuzzed)
+		case !f.Corpus:
+			word = fmt.Sprintf("found after the corpus, %d, and about %d new inputs", f.Replayed, f.Fuzzed)
+		}
+		fmt.Printf("%-24s %-48s %s\n", f.Package+" "+f.Target, f.Kind, word)
+	})
+	if missed > 0 {
+		err = errors.Join(err, fmt.Errorf("%d of %d faults were not found", missed, len(list)))
+	}
+	return err
+}
--- a/cmd/honeyplank/main.go
+++ b/cmd/honeyplank/main.go
@@ -33,6 +33,7 @@
 	Settings settingsCommand `cmd:"" help:"Check and show settings."`
 	Rehearse rehearseCommand `cmd:"" help:"Play a bad day on stand-ins and judge the rules."`
 	Bench    benchCommand    `cmd:"" help:"Measure what the gateway costs, against stand-ins asked directly."`
+	Corpus   corpusCommand   `cmd:"" help:"Keep the inputs of the fuzz targets, in a source tree."`
 	Standin  standinCommand  `cmd:"" help:"Run a stand-in, to try the gateway on."`
 	Version  versionCommand  `cmd:"" help:"Tell the version."`
 }
--- a/initiator/model_test.go
+++ b/initiator/model_test.go
@@ -128,7 +128,7 @@
 					offset = m.wanted
 				}
 				if n&0x80 != 0 {
-					offset, size = 4096*int(n>>6&1), int(n&0x20)<<8
+					offset, size = 4096*int(n>>6&1), int(n&0x20)<<8+int(n>>3&1)
 				}
 				say = frame.AppendR2T(nil, id, 1, offset, size)
 				allowed = m != nil && m.write && !m.capsule && size > 0 && offset == m.wanted && offset+size <= m.bytes
--- a/members/fuzz_test.go
+++ b/members/fuzz_test.go
@@ -15,11 +15,17 @@
 func FuzzRecord(f *testing.F) {
 	f.Add("127.0.0.1:7000", []byte(`{"state":"on","cell":3,"started_ms":5,"size":2.5,"zone":1,"model":2}`))
 	f.Add("[::1]:7000", []byte(`{"state":"draining"}`))
+	for _, field := range []string{"cell", "zone", "size", "started_ms"} {
+		f.Add("[::1]:7000", []byte(`{"state":"on","`+field+`":-1}`))
+	}
 	f.Fuzz(func(t *testing.T, address string, value []byte) {
 		r, err := ParseRecord(address, value)
 		if err != nil {
 			return
 		}
+		if r.Cell < 0 || r.Zone < 0 || r.Size < 0 || r.StartedMS < 0 || r.State != "on" && r.State != "draining" {
+			t.Fatalf("%+v", r)
+		}
 		b, err := json.Marshal(r)
 		if err != nil {
 			t.Fatal(err)
@@ -102,7 +108,7 @@
 				note := func() { given[address.A.String()] = true }
 				switch what {
 				case 0, 1:
-					m.Answer = append(m.Answer, &dns.SRV{Hdr: head, Port: 7, Weight: uint16(n & 1), Priority: uint16(n >> 1 & 1), Target: target})
+					m.Answer = append(m.Answer, &dns.SRV{Hdr: head, Port: uint16(n >> 2 & 3), Weight: uint16(n & 1), Priority: uint16(n >> 1 & 1), Target: target})
 				case 2:
 					m.Answer = append(m.Answer, address)
 					note()
@@ -153,7 +159,7 @@
 		seen := map[string]bool{}
 		for _, n := range news.Nodes {
 			at, err := netip.ParseAddrPort(n.Address)
-			if err != nil || !given[at.Addr().String()] || seen[n.Address] || n.State != "on" && n.State != "draining" {
+			if err != nil || at.Port() == 0 || !given[at.Addr().String()] || seen[n.Address] || n.State != "on" && n.State != "draining" {
 				t.Fatalf("%+v, given were %v, %v", n, given, err)
 			}
 			seen[n.Address] = true
--- a/target/fuzz_test.go
+++ b/target/fuzz_test.go
@@ -93,12 +93,9 @@
 			case 8:
 				say(io, io.host.AppendCommand(nil, &nvme.Command{n}, nil))
 				sent[0]++
-			case 9: // a data wait is over
-				for _, c := range io.s.commands {
-					if c.state == receiving && byte(c.CID()) == n>>4 {
-						io.s.Expire(c)
-						break
-					}
+			case 9: // a data wait is over, perhaps long after the data has come
+				if c := io.s.commands[id]; c != nil {
+					io.s.Expire(c)
 				}
 				got(drain(io))
 			case 10:
--- a/target/model_test.go
+++ b/target/model_test.go
@@ -168,6 +168,10 @@
 func FuzzModel(f *testing.F) {
 	f.Add(byte(0), []byte{0, 0x01, 1, 0x02, 6, 0, 8, 0, 8, 1})
 	f.Add(byte(3), []byte{1, 0x10, 1, 0x20, 6, 0x11, 6, 0x10, 7, 0, 9, 1, 10, 2})
+	f.Add(byte(0), []byte{1, 0x01, 7, 0x01, 7, 0xA1})       // data that came already
+	f.Add(byte(0), []byte{1, 0x01, 7, 0x41, 1, 0x02})       // a byte past the end
+	f.Add(byte(1), []byte{1, 0x01, 1, 0x11, 7, 0x81, 7, 1}) // another command's
+	f.Add(byte(2), []byte{1, 0x01, 7, 0x01, 7, 0xC1, 9, 0, 10, 0})
 	f.Add(byte(2), []byte{2, 0x11, 3, 0x12, 4, 0x13, 5, 0x14, 11, 0x10, 12, 0x10, 1, 0x40, 6, 0x80})
 	f.Fuzz(func(t *testing.T, digests byte, script []byte) {
 		admin, io := pairWith(t, nvme.Init{HeaderDigest: digests&1 != 0, DataDigest: digests&2 != 0})
@@ -219,7 +223,7 @@
 					case 1:
 						fr.offset += 4096
 					case 2:
-						fr.size += 4
+						fr.size, fr.last = fr.size+1+3*int(n>>3&1), n&16 != 0
 					case 3:
 						fr.last = false
 					case 4:
@@ -265,14 +269,15 @@
 				}
 				continue
 			case 10: // data has not come in time
-				for _, e := range m.entries {
-					if e.receiving && e.cid == fr.cid {
-						io.s.Expire(io.s.commands[e.cid])
+				if e := m.open(fr.cid); e != nil { // the time may be over whatever has come of the command meanwhile
+					want := []string(nil)
+					if e.receiving {
+						want = []string{fmt.Sprintf("%d:%#x", e.cid, uint16(nvme.DataTransferError))}
 						e.receiving, e.ended = false, true
-						if got := answers(drain(io)); len(got) != 1 || got[0] != fmt.Sprintf("%d:%#x", e.cid, uint16(nvme.DataTransferError)) {
-							t.Fatalf("expiry told %v", got)
-						}
-						break
+					}
+					io.s.Expire(io.s.commands[e.cid])
+					if got := answers(drain(io)); !slices.Equal(got, want) {
+						t.Fatalf("expiry told %v, want %v", got, want)
 					}
 				}
 				continue
