Rehearsal with wires that flip, drop, repeat, delay, cut and lie, judged by the audit

The audit knows which connections the wire damaged: their ops are owed no answer from then on, all else is judged.

--- a/audit/record.go
+++ b/audit/record.go
@@ -39,6 +39,8 @@
 	sent     time.Duration
 	answers  []answerRecord
 	closed   time.Duration // the connection ended; 0: it has not
+	spoiled  bool          // the wire damaged its connection while it was open, or before
+	twice    bool          // the wire repeated its command
 	sends    []*sendRecord
 }
 
@@ -191,12 +193,30 @@
 	return 0, 0, false
 }
 
-// Client makes taps for the connections of a gateway's clients; block is the block size. The tap sits at the
+// Link is a connection as the audit sees it: what crosses the socket, and that a bad wire has damaged what crossed.
+// From then on the gateway can't know what its client meant, so its ops that were open, and those that come, are
+// owed no answer; where the wire repeated a command, no order and no single effect either.
+type Link struct {
+	Tap   func(sent bool, b []byte)
+	Spoil func()
+}
+
+// Client makes links for the connections of a gateway's clients; block is the block size. The tap sits at the
 // client: what it sent came from the host.
-func (l *Log) Client(gateway, block int) func() func(sent bool, b []byte) {
-	return func() func(bool, []byte) {
-		w, gone := newWire(), false
-		return func(sent bool, b []byte) {
+func (l *Log) Client(gateway, block int) func() Link {
+	return func() Link {
+		w, gone, spoiled := newWire(), false, false
+		spoil := func() {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			spoiled = true
+			for _, x := range w.open {
+				if r := x.(*opRecord); len(r.answers) == 0 {
+					r.spoiled = true
+				}
+			}
+		}
+		return Link{Spoil: spoil, Tap: func(sent bool, b []byte) {
 			l.mu.Lock()
 			defer l.mu.Unlock()
 			if len(b) == 0 {
@@ -212,7 +232,11 @@
 				if p.Type == nvme.TypeCapsuleCmd {
 					if c := w.command(p); c != nil {
 						r := &opRecord{opKey: opKey{c.NSID(), c.SLBA(), c.Opcode()}, gateway: gateway, bytes: c.Blocks() * block,
-							patience: time.Duration(c.Patience()) * time.Millisecond, sent: l.now()}
+							patience: time.Duration(c.Patience()) * time.Millisecond, sent: l.now(), spoiled: spoiled}
+						if old := l.ops[r.opKey]; old != nil && spoiled {
+							old.twice = true
+							return
+						}
 						l.ops[r.opKey] = r
 						l.order = append(l.order, r)
 						w.open[c.CID()] = r
@@ -223,7 +247,7 @@
 					}
 				}
 			})
-		}
+		}}
 	}
 }
 
--- a/cmd/honeyplank/main.go
+++ b/cmd/honeyplank/main.go
@@ -209,7 +209,7 @@
 }
 
 type rehearseCommand struct {
-	Script   string `help:"Script to play: badday and sources are built in, else a file." default:"badday"`
+	Script   string `help:"Script to play: badday, sources and wires are built in, else a file." default:"badday"`
 	Seed     int64  `help:"Seed of all chance." default:"1"`
 	Trouble  string `help:"Play one kind of trouble on its own, or all of them one by one."`
 	Baseline bool   `help:"Have the gateways pass ops on in order of arrival, to measure against."`
@@ -223,6 +223,8 @@
 	switch c.Script {
 	case "badday":
 		script, err = settings.Parse("built-in script", rehearse.BadDay)
+	case "wires":
+		script, err = settings.Parse("built-in script", rehearse.Wires)
 	case "sources":
 		script, err = settings.Parse("built-in script", rehearse.Sources)
 	default:
--- a/initiator/association.go
+++ b/initiator/association.go
@@ -21,6 +21,8 @@
 	Within    time.Duration // for all of the handshake
 	KeepAlive time.Duration // 0: none. Silence of this long on the admin queue ends the association
 	Tap       func() func(sent bool, b []byte)
+	// Wire, where set, is handed each new connection, and sets its tap: the faults of a stand-in's wire.
+	Wire func(*loop.Conn)
 }
 
 // Handler hears of an association. It is called on the loop.
@@ -77,6 +79,9 @@
 	if a.conns[n], err = a.loop.Dial(a.terms.Address, &queue{a, n}); err == nil && a.terms.Tap != nil {
 		a.conns[n].Tap = a.terms.Tap()
 	}
+	if err == nil && a.terms.Wire != nil {
+		a.terms.Wire(a.conns[n])
+	}
 	return err
 }
 
--- a/load/load.go
+++ b/load/load.go
@@ -26,6 +26,9 @@
 	Clients  int // for each target
 	Retries  int
 	Seed     int64
+	Digests  bool // of headers and data
+	// Apart tells which clients' utility is counted apart too; nil: none.
+	Apart func(client int) bool
 	// Expect fills a block that was never written, to check what is read; nil: reads are not checked.
 	Expect func(block []byte, nsid uint32, lba uint64)
 }
@@ -34,7 +37,7 @@
 type Target struct {
 	Address   string
 	Subsystem string
-	Tap       func() func(sent bool, b []byte)
+	Wire      func(client int, c *loop.Conn) // where set, is handed each new connection
 	Left      func() // where set, hears before a client breaks its connection
 }
 
@@ -67,6 +70,8 @@
 	Hurry float64
 	// ByType are the results, by op type.
 	ByType []Tally
+	// Apart is the utility of the clients that are counted apart, which ByType holds too.
+	Apart struct{ Due, Earned float64 }
 
 	o       Options
 	loop    *loop.Loop
@@ -189,7 +194,12 @@
 	}
 	host := fmt.Sprintf("nqn.2026-12.org.honeyplank:client-%d", c.n)
 	c.link = initiator.Dial(c.g.loop, initiator.Terms{Address: c.at.Address, Subsystem: c.at.Subsystem, Host: host, HostID: [16]byte{byte(c.n), 1},
-		Depth: depth, MaxData: int(c.g.o.Settings.Limits.Transfer), Within: time.Second, KeepAlive: 5 * time.Second, Tap: c.at.Tap}, c)
+		Depth: depth, MaxData: int(c.g.o.Settings.Limits.Transfer), Within: time.Second, KeepAlive: 5 * time.Second, Digests: c.g.o.Digests,
+		Wire: func(conn *loop.Conn) {
+			if c.at.Wire != nil {
+				c.at.Wire(c.n, conn)
+			}
+		}}, c)
 }
 
 func (c *client) Ready(*initiator.Association) { c.live = true }
@@ -284,6 +294,9 @@
 	tally.Ops++
 	plan := s.Plans.List[s.Plan(o.volume.Plan)]
 	tally.Due += o.worth(plan)
+	if g.o.Apart != nil && g.o.Apart(o.client.n) {
+		g.Apart.Due += o.worth(plan)
+	}
 	g.pending++
 	o.send()
 }
@@ -400,6 +413,9 @@
 			worth *= t.LateUtility
 		}
 		tally.Earned += worth
+		if o.g.o.Apart != nil && o.g.o.Apart(o.client.n) {
+			o.g.Apart.Earned += worth
+		}
 		if o.opcode == nvme.Write && len(o.g.written) < 1000 {
 			o.g.written = append(o.g.written, region{o.volume.NSID, o.lba, o.data})
 		}
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -276,12 +276,20 @@
 	Closed(c *Conn, err error)
 }
 
+// Bend changes bytes on their way; what it keeps back it gives at a later call, see Conn.Stir.
+type Bend interface {
+	In(b []byte) []byte
+	Out(b []byte) []byte
+}
+
 // Conn is a TCP connection on a loop.
 type Conn struct {
 	// Out is what is to be sent; append to it and call Send.
 	Out []byte
 	// Tap, where set, sees the bytes that cross the socket, in order; sent tells which way. No bytes: the end.
 	Tap func(sent bool, b []byte)
+	// Bend, where set, stands between socket and handler and changes what crosses: the faults of a stand-in's wire.
+	Bend Bend
 	// Peer is who connected; not set for a connection that was dialled.
 	Peer netip.Addr
 	// Ended, where set, is called once the socket is closed, by whichever end.
@@ -292,6 +300,7 @@
 	h       Handler
 	left    []byte // read and not yet used
 	sent    int    // bytes of Out that are gone already
+	bent    int    // bytes of Out that Bend has passed
 	events  uint32
 	dialing bool
 	paused  bool
@@ -435,10 +444,25 @@
 		if c.Tap != nil {
 			c.Tap(false, c.l.in[:n])
 		}
-		c.input(c.l.in[:n])
+		b := c.l.in[:n]
+		if c.Bend != nil {
+			b = c.Bend.In(b)
+		}
+		c.input(b)
 	}
 }
 
+// Stir has Bend give what it kept back.
+func (c *Conn) Stir() {
+	if c.Bend != nil && !c.closed && !c.dialing {
+		c.input(c.Bend.In(nil))
+		c.write()
+	}
+}
+
+// Break ends the connection as a reset by the other end does.
+func (c *Conn) Break() { c.fail(unix.ECONNRESET) }
+
 // input offers b behind what was left.
 func (c *Conn) input(b []byte) {
 	if c.closed || c.ending {
@@ -466,6 +490,12 @@
 }
 
 func (c *Conn) write() {
+	if c.Bend != nil && !c.closed {
+		c.bent = min(c.bent, len(c.Out))
+		fresh := append([]byte(nil), c.Out[c.bent:]...)
+		c.Out = append(c.Out[:c.bent], c.Bend.Out(fresh)...)
+		c.bent = len(c.Out)
+	}
 	for !c.closed && c.sent < len(c.Out) {
 		c.l.Stats.Writes.Add(1)
 		n, err := unix.Write(c.fd, c.Out[c.sent:])
@@ -487,7 +517,7 @@
 	}
 	switch {
 	case c.sent == len(c.Out):
-		c.Out, c.sent = c.Out[:0], 0
+		c.Out, c.sent, c.bent = c.Out[:0], 0, 0
 		if cap(c.Out) > readSize {
 			c.Out = nil
 		}
@@ -496,7 +526,7 @@
 		}
 	case c.sent > readSize:
 		c.Out = append(c.Out[:0], c.Out[c.sent:]...)
-		c.sent = 0
+		c.bent, c.sent = max(0, c.bent-c.sent), 0
 	}
 	c.watch()
 }
--- a/rehearse/baseline.go
+++ b/rehearse/baseline.go
@@ -80,6 +80,12 @@
 	"clients-leave":   {{Kind: "clients-leave", Count: 3}},
 	"mute-handshake":  {{Kind: "mute-handshake", Count: 1}},
 	"cut":             {{Kind: "cut", Count: 6}},
+	"wire-flip":       {{Kind: "wire-flip", Count: 2}},
+	"wire-drop":       {{Kind: "wire-drop", Count: 2}},
+	"wire-delay":      {{Kind: "wire-delay", Count: 2}},
+	"wire-cut":        {{Kind: "wire-cut", Count: 2}},
+	"wire-repeat":     {{Kind: "wire-repeat", Count: 2}},
+	"wire-lie":        {{Kind: "wire-lie", Count: 2}},
 }
 
 // names are troubles of DNS, for scripts that have it.
--- a/rehearse/sabotage_test.go
+++ b/rehearse/sabotage_test.go
@@ -200,6 +200,34 @@
 	}
 }
 
+// TestWires damages what crosses between some clients, disk servers and the gateways in every way: every op that is
+// sound is settled, nothing stays held, no byte is wrong, and the clients whose wires are sound hardly notice.
+func TestWires(t *testing.T) {
+	t.Parallel()
+	s, err := settings.Parse("built-in script", Wires)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Rehearsal.Length = settings.Span(9 * time.Second)
+	for i := range s.Rehearsal.Troubles {
+		s.Rehearsal.Troubles[i].At, s.Rehearsal.Troubles[i].For = settings.Span(time.Duration(i)*1500*time.Millisecond), settings.Span(1200*time.Millisecond)
+		s.Rehearsal.Troubles[i].Times = 0.06
+	}
+	r, err := Run(context.Background(), Options{Script: s, Seed: 11})
+	if err != nil {
+		t.Fatal(err)
+	}
+	lost := 0
+	for _, x := range r.Types {
+		if lost += x.Lost; x.Wrong > 0 {
+			t.Errorf("%s: %d with other bytes than were written", x.Name, x.Wrong)
+		}
+	}
+	if !r.Kept || r.Held > 0 || lost == 0 || r.Apart == 0 || r.Honest < r.Apart || r.Honest < 0.8 {
+		t.Errorf("%d lost, %d held; %v", lost, r.Held, r)
+	}
+}
+
 // TestTroubles makes a script of every kind of trouble that a script can name.
 func TestTroubles(t *testing.T) {
 	script, err := settings.Parse("built-in script", Sources)
--- a/standin/disk/disk.go
+++ b/standin/disk/disk.go
@@ -28,6 +28,7 @@
 	Meter    *Meter
 	Offer    target.Offer
 	Tap      func() func(sent bool, b []byte)
+	Wire     func(*loop.Conn)
 }
 
 // Faults are what is wrong with a server now.
@@ -103,7 +104,7 @@
 
 func (s *Server) listen() (err error) {
 	if s.server, err = target.Listen(s.loop, s.address, s.m.Offer, s); err == nil {
-		s.address, s.server.Tap = s.server.Address(), s.m.Tap
+		s.address, s.server.Tap, s.server.Wire = s.server.Address(), s.m.Tap, s.m.Wire
 	}
 	return err
 }
--- a/target/server.go
+++ b/target/server.go
@@ -15,6 +15,8 @@
 	Patience func(*Command) time.Duration
 	// Tap, where set, is asked for a tap of each new connection.
 	Tap func() func(sent bool, b []byte)
+	// Wire, where set, is handed each new connection: a stand-in's faults.
+	Wire func(*loop.Conn)
 	// Deaf drops what comes on new and, with DeafAll, on all connections: faults of a stand-in.
 	Deaf, DeafAll bool
 	// Guard, where set, decides what one peer may cost; Judged hears what it took away.
@@ -125,6 +127,9 @@
 		gotten: func(n int) { s.Guard.Got(s.loop.Now(), c.peer, n) }, born: now, heard: now,
 		commands: map[uint16]*Command{}, tags: map[uint16]*Command{}}
 	c.session.in.FromHost = true
+	if s.Wire != nil {
+		s.Wire(raw)
+	}
 	if s.Tap != nil {
 		raw.Tap = s.Tap()
 	}
