Limits per peer bound its commands out too

Change: peers.Guard counts Reads and Writes that are not answered (peer commands, may be left out); one past the bound is answered at once with Command Interrupted. The plain models count them too.

Measured: a peer with 12 Writes whose data never comes has 8 answered at once and 4 at the time for their data; another peer is served meanwhile.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -134,7 +134,7 @@
 		return nil, fmt.Errorf("gateway: %s: %w", s.Listen.Address, err)
 	}
 	if p := s.Limits.Peer; p != nil {
-		g.server.Guard = peers.New(peers.Terms{Connections: p.Connections, Handshakes: p.Handshakes, Bytes: int(p.Bytes), PDU: p.PDU.D(),
+		g.server.Guard = peers.New(peers.Terms{Connections: p.Connections, Handshakes: p.Handshakes, Commands: p.Commands, Bytes: int(p.Bytes), PDU: p.PDU.D(),
 			Breaches: p.Breaches, Window: p.Window.D(), Shut: p.Shut.D(), Most: p.Most.D()})
 	}
 	g.server.Judged = func(peer, what string, span time.Duration) {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -780,3 +780,26 @@
 		}
 	}
 }
+
+// TestCommandsOfOnePeer has a peer keep more commands out than it may: those beyond are answered at once, the others
+// are served, and another peer notices nothing.
+func TestCommandsOfOnePeer(t *testing.T) {
+	w := start(t, guarded, func(s *settings.Gateway) { s.Limits.Peer.Commands = 4 })
+	greedy := rawConnectFrom(t, w, "greedy", "127.0.0.2")
+	for id := range uint16(12) { // Writes whose data does not come
+		greedy.write(greedy.command(id, nvme.Write, 1, 0, 2, nil))
+	}
+	for range 8 {
+		if p := greedy.expectAny(nvme.TypeCapsuleResp); greedy.status(p).Code() != nvme.CommandInterrupted {
+			t.Errorf("%#x", greedy.status(p))
+		}
+	}
+	if _, status := w.op(w.dial("honest"), nvme.NewRW(nvme.Read, 2, 1, 1), nil); status != nvme.Success {
+		t.Errorf("an honest client of another peer: %#x", status)
+	}
+	for range 4 {
+		if p := greedy.expectAny(nvme.TypeCapsuleResp); greedy.status(p) != nvme.DataTransferError {
+			t.Errorf("%#x", greedy.status(p))
+		}
+	}
+}
--- a/gateway/raw_test.go
+++ b/gateway/raw_test.go
@@ -154,9 +154,17 @@
 
 // rawConnect makes a controller by hand and returns its I/O queue; the admin queue stays open with the test.
 func rawConnect(t *testing.T, w *world, name string) *raw {
+	t.Helper()
+	return rawConnectFrom(t, w, name, "127.0.0.1")
+}
+
+func rawConnectFrom(t *testing.T, w *world, name, from string) *raw {
 	t.Helper()
 	host := "nqn.2026-12.org.honeyplank:" + name
-	admin, io := rawDial(t, w.g.Address()), rawDial(t, w.g.Address())
+	admin, io := rawFrom(t, from, w.g.Address()), rawFrom(t, from, w.g.Address())
+	if admin == nil || io == nil {
+		t.Fatal("turned away")
+	}
 	admin.init()
 	status, id := admin.join(0, nvme.DynamicController, w.s.Listen.Subsystem, host)
 	if status != nvme.Success {
--- a/load/load.go
+++ b/load/load.go
@@ -38,7 +38,7 @@
 	Address   string
 	Subsystem string
 	Wire      func(client int, c *loop.Conn) // where set, is handed each new connection
-	Left      func() // where set, hears before a client breaks its connection
+	Left      func()                         // where set, hears before a client breaks its connection
 }
 
 // Tally is what became of the ops of one type. A client's retries belong to its first try.
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -9,6 +9,7 @@
 type Terms struct {
 	Connections int           // of one peer
 	Handshakes  int           // of one peer that are not complete
+	Commands    int           // Reads and Writes of one peer that are not answered
 	Bytes       int           // of write data that one peer has been asked for and not yet sent
 	PDU         time.Duration // from the first byte of a PDU to its last
 	Breaches    int           // within Window that shut a peer out
@@ -75,6 +76,7 @@
 	connections int
 	halves      int // of them, handshakes that are not complete
 	bytes       int
+	commands    int
 	breaches    []time.Duration // within Window
 	last        time.Duration   // the last breach
 	until       time.Duration   // shut out until
@@ -197,6 +199,20 @@
 // Got tells that bytes asked for have come, or will not.
 func (g *Guard) Got(now time.Duration, id string, n int) { g.get(now, id).bytes -= n }
 
+// Begin tells whether a peer's command may begin; if so it counts until Done. Past the bound it is to be answered at
+// once: held, it would cost what the bound is there to save.
+func (g *Guard) Begin(now time.Duration, id string) bool {
+	p := g.get(now, id)
+	if over(p.commands, g.terms.Commands) {
+		return false
+	}
+	p.commands++
+	return true
+}
+
+// Done tells that a command that began is over.
+func (g *Guard) Done(now time.Duration, id string) { g.get(now, id).commands-- }
+
 // Late tells whether a PDU that began at a time should be complete.
 func (g *Guard) Late(now, began time.Duration) bool {
 	return g.terms.PDU > 0 && now-began >= g.terms.PDU
@@ -210,7 +226,7 @@
 	}
 	g.tidy = now + max(g.terms.Window, g.terms.Shut)
 	for id := range g.peers {
-		if p := g.get(now, id); p.standing == welcome && p.connections == 0 && p.bytes == 0 {
+		if p := g.get(now, id); p.standing == welcome && p.connections == 0 && p.bytes == 0 && p.commands == 0 {
 			delete(g.peers, id)
 		}
 	}
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -8,7 +8,7 @@
 
 const s = time.Second
 
-var terms = Terms{Connections: 4, Handshakes: 2, Bytes: 1000, PDU: s, Breaches: 3, Window: 10 * s, Shut: 5 * s, Most: 60 * s}
+var terms = Terms{Connections: 4, Handshakes: 2, Commands: 5, Bytes: 1000, PDU: s, Breaches: 3, Window: 10 * s, Shut: 5 * s, Most: 60 * s}
 
 // TestShutOut follows one peer through every standing.
 func TestShutOut(t *testing.T) {
@@ -72,7 +72,7 @@
 func TestNoBounds(t *testing.T) {
 	g := New(Terms{})
 	for range 1000 {
-		if g.Open(0, "p") != Admit || g.Breach(0, "p") != 0 || !g.Ask(0, "p", 1<<30) || g.Late(time.Hour, 0) {
+		if g.Open(0, "p") != Admit || g.Breach(0, "p") != 0 || !g.Ask(0, "p", 1<<30) || !g.Begin(0, "p") || g.Late(time.Hour, 0) {
 			t.Fatal("a bound that was left out holds")
 		}
 	}
@@ -82,6 +82,7 @@
 type plain struct {
 	open   map[string][]bool // joined
 	asked  map[string][]int
+	runs   map[string]int
 	breach map[string][]time.Duration
 	until  map[string]time.Duration
 	span   map[string]time.Duration
@@ -95,7 +96,7 @@
 	for seed := range int64(100) {
 		rng := rand.New(rand.NewSource(seed))
 		g, now := New(terms), time.Duration(0)
-		p := plain{map[string][]bool{}, map[string][]int{}, map[string][]time.Duration{}, map[string]time.Duration{}, map[string]time.Duration{}, map[string]bool{}, map[string]time.Duration{}}
+		p := plain{map[string][]bool{}, map[string][]int{}, map[string]int{}, map[string][]time.Duration{}, map[string]time.Duration{}, map[string]time.Duration{}, map[string]bool{}, map[string]time.Duration{}}
 		for range 2000 {
 			now += time.Duration(rng.Intn(3000)) * time.Millisecond / 4
 			id := string(rune('a' + rng.Intn(4)))
@@ -105,7 +106,7 @@
 			if p.until[id] == 0 && now >= p.last[id]+terms.Window {
 				p.trial[id], p.span[id], p.breach[id] = false, 0, nil
 			}
-			switch rng.Intn(6) {
+			switch rng.Intn(7) {
 			case 0, 1:
 				halves := 0
 				for _, joined := range p.open[id] {
@@ -162,6 +163,19 @@
 				if got := g.Breach(now, id); got != want {
 					t.Fatalf("seed %d at %v: %s breaches: %v, want %v", seed, now, id, got, want)
 				}
+			case 6:
+				if rng.Intn(3) > 0 {
+					want := p.runs[id] < terms.Commands
+					if got := g.Begin(now, id); got != want {
+						t.Fatalf("seed %d: %s with %d commands begins one: %v", seed, id, p.runs[id], got)
+					}
+					if want {
+						p.runs[id]++
+					}
+				} else if p.runs[id] > 0 {
+					g.Done(now, id)
+					p.runs[id]--
+				}
 			case 5:
 				sum := 0
 				for _, n := range p.asked[id] {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -215,6 +215,7 @@
 type Peer struct {
 	Connections int   `xml:"connections,attr"`
 	Handshakes  int   `xml:"handshakes,attr"`
+	Commands    int   `xml:"commands,attr,omitempty"`
 	Bytes       Bytes `xml:"bytes,attr"`
 	PDU         Span  `xml:"pdu,attr"`
 	Breaches    int   `xml:"breaches,attr"`
--- a/target/fuzz_test.go
+++ b/target/fuzz_test.go
@@ -132,6 +132,9 @@
 			}
 			io.s.buffers.Put(c.Data) // the handler's
 		}
+		if io.begun != 0 {
+			t.Fatalf("%d commands count for their peer after the end", io.begun)
+		}
 		if open > 0 || io.s.buffers.Held != 0 || len(io.s.subs.byID) != 0 {
 			t.Fatalf("%d commands open, %d bytes held, %d associations after the end", open, io.s.buffers.Held, len(io.s.subs.byID))
 		}
--- a/target/server.go
+++ b/target/server.go
@@ -124,6 +124,8 @@
 	c.session = &Session{tear: c.tear, offer: &s.offer, subs: &s.subs, handler: s.handler, buffers: &s.Buffers, out: &raw.Out,
 		flush: c.flush, end: func() { c.stop(true) }, await: c.await,
 		ask:    func(n int) bool { return s.Guard.Ask(s.loop.Now(), c.peer, n) },
+		begin:  func() bool { return s.Guard.Begin(s.loop.Now(), c.peer) },
+		done:   func() { s.Guard.Done(s.loop.Now(), c.peer) },
 		gotten: func(n int) { s.Guard.Got(s.loop.Now(), c.peer, n) }, born: now, heard: now,
 		commands: map[uint16]*Command{}, tags: map[uint16]*Command{}}
 	c.session.in.FromHost = true
--- a/target/session.go
+++ b/target/session.go
@@ -61,6 +61,7 @@
 	ttag    uint16
 	got     int
 	asked   bool // its R2T is out and counts for its peer
+	counted bool // it counts for its peer
 }
 
 // Tear answers a Read by half of its PDU and a broken connection: a fault of a stand-in.
@@ -85,6 +86,7 @@
 	if c.state == taken {
 		c.state = over
 		delete(c.session.commands, c.CID())
+		c.session.ended(c)
 		c.session.answer(c.CID(), status, dw0, dw1, data)
 		c.session.flush()
 	}
@@ -113,6 +115,8 @@
 
 	ask      func(n int) bool // may the peer be asked for so much data now
 	gotten   func(n int)      // it has come, or will not
+	begin    func() bool      // may the peer have one command more
+	done     func()           // one of them is over
 	breached bool             // the connection ends for a breach
 
 	phase    phase
@@ -386,7 +390,11 @@
 		s.answer(sqe.CID(), status, 0, 0, nil)
 		return
 	}
-	c := &Command{Command: *sqe, Bytes: size, Arrived: now, Host: s.control.host, session: s}
+	if !s.begin() { // more commands out than one peer may have: the host may come again
+		s.answer(sqe.CID(), nvme.CommandInterrupted, 0, 0, nil)
+		return
+	}
+	c := &Command{Command: *sqe, Bytes: size, Arrived: now, Host: s.control.host, session: s, counted: true}
 	s.commands[c.CID()] = c
 	if c.Opcode() == nvme.Write && len(data) == 0 {
 		s.await(c)
@@ -443,6 +451,14 @@
 	}
 }
 
+// ended tells once that a command no longer counts.
+func (s *Session) ended(c *Command) {
+	if c.counted {
+		c.counted = false
+		s.done()
+	}
+}
+
 // came ends what was asked of the peer for a command.
 func (s *Session) came(c *Command) {
 	if c.asked {
@@ -488,6 +504,7 @@
 // forget drops a command that is not with the handler.
 func (s *Session) forget(c *Command) {
 	delete(s.commands, c.CID())
+	s.ended(c)
 	s.came(c)
 	c.state = over
 	s.buffers.Put(c.Data)
@@ -543,6 +560,7 @@
 	for _, c := range open {
 		if c.state == taken {
 			c.state = over
+			s.ended(c)
 			s.handler.Lapse(c)
 		} else {
 			s.forget(c)
--- a/target/session_test.go
+++ b/target/session_test.go
@@ -14,6 +14,8 @@
 	s      *Session
 	out    []byte
 	ended  bool
+	begun  int // commands that count for the peer
+	most   int // of them; 0: any number
 	taken  []*Command
 	lapsed []*Command
 	host   nvme.Framing
@@ -32,6 +34,13 @@
 func newBench(t *testing.T, o *Offer, subs *associations) *bench {
 	b := &bench{t: t, host: nvme.Framing{FromHost: true}, in: nvme.Framing{MaxData: 1 << 20}}
 	b.s = &Session{offer: o, subs: subs, handler: b, buffers: &loop.Buffers{}, out: &b.out, flush: func() {}, await: func(*Command) {}, ask: func(int) bool { return true }, gotten: func(int) {},
+		begin: func() bool {
+			if b.most > 0 && b.begun >= b.most {
+				return false
+			}
+			b.begun++
+			return true
+		}, done: func() { b.begun-- },
 		end: func() { b.ended = true; b.s.Ended() }, commands: map[uint16]*Command{}, tags: map[uint16]*Command{}}
 	b.s.in.FromHost = true
 	return b
