Parsers held to a bound of memory by their fuzz targets

Change: internal/heap reads what a call allocates; FuzzParse, FuzzServe, FuzzAnswer and FuzzRecord hold it to a fixed part and a multiple of the input. The decoder of PDUs allocates nothing for PDUs that are right, and its error alone for headers whose lengths lie (ten lengths up to 2^32-1).

--- a/corpus/sabotage.go
+++ b/corpus/sabotage.go
@@ -47,6 +47,7 @@
 	{"initiator", "FuzzModel", "initiator/session.go", "&& v.asked != len(v.data) && v.write {", "&& false {", "success of a Write before its data"},
 	{"initiator", "FuzzController", "initiator/session.go", "	s.free = append(s.free, v.index)\n	if call", "	s.free = append(s.free, v.index, v.index)\n	if call", "a slot is freed twice"},
 	{"members", "FuzzWatch", "members/watch.go", "if e.Kv.ModRevision <= l.revision {", "if e.Kv.ModRevision < l.revision {", "a revision told is told again"},
+	{"members", "FuzzWatch", "members/watch.go", "l.revision = max(l.revision, l.last)", "l.revision = max(l.revision, r.Header.Revision)", "the header's revision counts as reached"},
 	{"members", "FuzzWatch", "members/watch.go", "if e.GetKv() == nil || e.Kv.ModRevision < before {", "if e.Kv.ModRevision < before {", "an event without its pair"},
 	{"members", "FuzzWatch", "members/watch.go", "if r.Header.Revision < l.revision {", "if r.Header.Revision < l.revision-1 {", "a history that is another"},
 	{"members", "FuzzWatch", "members/watch.go", "		saysPart:      {pieces, (*list).hold},\n		saysAll:       {stands, (*list).tell},\n		saysProgress:  {pieces, nothing},", "		saysPart:      {pieces, (*list).hold},\n		saysAll:       {stands, (*list).tell},\n		saysProgress:  {pieces, (*list).progress},", "progress passes what is still in pieces"},
--- a/internal/wire/fuzz_test.go
+++ b/internal/wire/fuzz_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"honeyplank"
+	"honeyplank/internal/heap"
 )
 
 type idle struct{}
@@ -20,7 +21,13 @@
 	f.Add(`{"wall_ms":2,"round":3,"news":[{"op":"response","scheduler_id":"s","job":"a","leg":0,"server":"x","state_code":1,"elapsed_ms":1,"feedback":[1,2]},{"op":"discovery","scheduler_id":"s","how":"all","nodes_list":[{"server":"x","readiness":"on"}]}]}`)
 	f.Fuzz(func(t *testing.T, in string) {
 		var out bytes.Buffer
-		err := Serve(strings.NewReader(in), &out, func(int64, map[string]any) Handler { return idle{} })
+		var err error
+		n := heap.Bytes(func() {
+			err = Serve(strings.NewReader(in), &out, func(int64, map[string]any) Handler { return idle{} })
+		})
+		if n > uint64(4<<20+1000*len(in)) {
+			t.Fatalf("%d bytes are allocated for an input of %d", n, len(in))
+		}
 		asked := 0
 		for _, line := range strings.Split(in, "\n") {
 			if strings.TrimSpace(line) != "" {
--- a/members/fuzz_test.go
+++ b/members/fuzz_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"github.com/miekg/dns"
+
+	"honeyplank/internal/heap"
 )
 
 // FuzzRecord reads any value of a key: no panic, and what is taken reads back the same.
@@ -19,7 +21,11 @@
 		f.Add("[::1]:7000", []byte(`{"state":"on","`+field+`":-1}`))
 	}
 	f.Fuzz(func(t *testing.T, address string, value []byte) {
-		r, err := ParseRecord(address, value)
+		var r Record
+		var err error
+		if n := heap.Bytes(func() { r, err = ParseRecord(address, value) }); n > uint64(1<<20+1000*len(value)) {
+			t.Fatalf("%d bytes are allocated for a value of %d", n, len(value))
+		}
 		if err != nil {
 			return
 		}
@@ -54,10 +60,15 @@
 	f.Add(b[:20])
 	f.Fuzz(func(t *testing.T, b []byte) {
 		m := new(dns.Msg)
-		if m.Unpack(b) != nil {
-			return
+		var found []dns.RR
+		var err error
+		if n := heap.Bytes(func() {
+			if err = m.Unpack(b); err == nil {
+				found, err = sound(m, zone, dns.TypeSRV)
+			}
+		}); n > uint64(1<<20+1000*len(b)) {
+			t.Fatalf("%d bytes are allocated for a message of %d", n, len(b))
 		}
-		found, err := sound(m, zone, dns.TypeSRV)
 		if err != nil {
 			return
 		}
--- a/nvme/nvme_test.go
+++ b/nvme/nvme_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"errors"
 	"math/rand"
 	"testing"
+
+	"honeyplank/internal/heap"
 )
 
 // framings are all that two ends can agree on here.
@@ -155,3 +158,33 @@
 		t.Error("CRC32C")
 	}
 }
+
+// TestNoAllocation reads PDUs that are right, and beginnings of such whose lengths lie: nothing is allocated for what
+// a length says, only the error that tells of it.
+func TestNoAllocation(t *testing.T) {
+	f := Framing{MaxData: 64 << 10, FromHost: true}
+	c := NewRW(Write, 1, 2, 1)
+	right := f.AppendData(f.AppendCommand(nil, &c, nil), TypeH2CData, FlagLast, 1, 1, 0, make([]byte, 4096))
+	if n := testing.AllocsPerRun(100, func() {
+		for at := 0; at < len(right); {
+			_, n, err := f.Decode(right[at:])
+			if err != nil || n == 0 {
+				t.Fatal(n, err)
+			}
+			at += n
+		}
+	}); n > 0 {
+		t.Errorf("%v allocations for two PDUs", n)
+	}
+	for _, length := range []uint32{0, 1, 71, 73, 64 << 10, 64<<10 + 72, 1 << 20, 1<<31 - 1, 1 << 31, 1<<32 - 1} {
+		head := append([]byte{TypeCapsuleCmd, 0, 72, 72}, binary.LittleEndian.AppendUint32(nil, length)...)
+		bytes := heap.Bytes(func() {
+			for range 1000 {
+				f.Decode(head)
+			}
+		})
+		if bytes > 1000*1024 {
+			t.Errorf("a length of %d: %d bytes for a thousand headers", length, bytes)
+		}
+	}
+}
--- a/settings/fuzz_test.go
+++ b/settings/fuzz_test.go
@@ -9,6 +9,8 @@
 	"os/exec"
 	"slices"
 	"testing"
+
+	"honeyplank/internal/heap"
 )
 
 // FuzzParse reads any text: no panic; what is taken can be shown, and what is shown reads back as the same.
@@ -21,7 +23,11 @@
 		f.Add(b)
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
-		g, err := Parse("x.xml", text)
+		var g *Gateway
+		var err error
+		if n := heap.Bytes(func() { g, err = Parse("x.xml", text) }); n > uint64(1<<20+1000*len(text)) {
+			t.Fatalf("%d bytes are allocated for a file of %d", n, len(text))
+		}
 		if err != nil {
 			return
 		}
