--- /dev/null
+++ b/policy/earlier/policy.go
@@ -0,0 +1,755 @@
+// Package earlier is the module's text as it was before its work an event was made independent of what is held. It is
+// the slow plain model of package policy: tests give both the same events and hold the actions against each other. No
+// program uses it.
+package earlier
+
+import (
+	"math"
+	"math/rand"
+	"time"
+
+	"honeyplank"
+)
+
+// Starting values of the design page; other figures are ratios to the settings.
+const (
+	avgA, avgB, avgC = 7.0 / 8, 32, 1024 // the paper's a, b and c
+	floor, ceiling   = 4.0, 32.0         // bounds of the window
+	idle             = 30 * time.Second  // entries idle for longer are dropped
+	near, past       = 1.5, 2.0          // latency near its best, and far past it
+	sliceOfTarget    = 0.25              // a round of slices lasts this part of the shortest target latency
+	spareOfTarget    = 0.045             // latency that leaves room for ops beyond the reserve
+	dueOfTarget      = 0.18              // the same for ops within the reserve
+	sweepOfTarget    = 1.0 / 20          // how often held ops are looked at
+	blending         = 1.0 / 8           // weight of the newest answer in a recent mean
+	creditMost       = 2 * floor         // further dispatches; each answer earns one
+	failingTooMuch   = 0.2               // share of errors at which new objects go elsewhere
+	bestForgets      = 1.0 / 256
+)
+
+// New makes an instance that knows nothing yet.
+func New(seed int64, settings map[string]any) *Scheduler {
+	return &Scheduler{
+		set: settings, rng: rand.New(rand.NewSource(seed)),
+		osds: map[honeyplank.OSDID]*osd{}, ops: map[honeyplank.OpID]*op{},
+		volumes: map[int64]*volume{}, keys: map[int64]*key{}, holders: map[int][]*osd{},
+		patient: make([]time.Duration, len(get[[]time.Duration](settings, "optypes.op_timeout"))),
+	}
+}
+
+// Handle takes one event and returns what is to be done at once.
+func (s *Scheduler) Handle(now time.Duration, event honeyplank.Event) []honeyplank.Action {
+	s.now, s.out = now, nil
+	if !s.started {
+		s.started, s.born = true, now
+		s.timer(now+s.sweepEvery(), "sweep")
+		if get[bool](s.set, "list.ask") {
+			s.ask()
+		}
+	}
+	switch e := event.(type) {
+	case honeyplank.List:
+		s.list(e)
+	case honeyplank.Op:
+		s.take(e)
+	case honeyplank.Outcome:
+		s.outcome(e)
+	case honeyplank.Began:
+		if p := s.ops[e.Op]; p != nil {
+			p.begun = true
+		}
+	case honeyplank.Timer:
+		if e.Name == "sweep" {
+			s.sweep()
+		}
+		if e.Name == "watch" && !s.watched {
+			s.ask()
+		}
+	case honeyplank.Lapsed:
+		if p := s.ops[e.Op]; p != nil && !p.over {
+			s.forget(p)
+		}
+	}
+	return s.out
+}
+
+func (s *Scheduler) sweepEvery() time.Duration {
+	shortest, _ := s.targets()
+	least := max(get[time.Duration](s.set, "step"), time.Millisecond)
+	return max(time.Duration(sweepOfTarget*float64(shortest)), least)
+}
+
+// ---- The list of disk servers ----
+
+func (s *Scheduler) ask() {
+	s.asked = s.now
+	s.act(honeyplank.Watch{On: true})
+}
+
+func (s *Scheduler) list(l honeyplank.List) {
+	switch l.Kind {
+	case honeyplank.Refused: // nothing tells whether a watch still stands: watch again, ever less often
+		s.watched = false
+		most := get[time.Duration](s.set, "list.ask_within") / 4
+		s.backoff = min(max(2*s.backoff, most/16, s.sweepEvery()), max(most, s.sweepEvery()))
+		s.timer(s.now+s.backoff/2+time.Duration(s.rng.Int63n(int64(s.backoff/2)+1)), "watch")
+		return
+	case honeyplank.Changes, honeyplank.Whole:
+		s.watched, s.backoff = true, 0
+	}
+	changes := l.Kind == honeyplank.Changes || l.Kind == honeyplank.Aside
+	if !changes { // what a whole list leaves out is gone
+		s.allGone()
+	}
+	touched := make([]*osd, 0, len(l.Members))
+	for _, m := range l.Members {
+		o := s.osds[m.OSD]
+		if o == nil { // what was sent to it before this instance started is unknown: that counts as too much
+			o = s.add(&osd{Member: m, window: floor, credit: creditMost, log: []sent{{s.born, math.Inf(1)}}})
+		}
+		if m.Started > o.Started {
+			s.judge(o, inBorn)
+		}
+		s.place(o, m)
+		touched = append(touched, o)
+	}
+	if !changes {
+		touched = s.order
+	}
+	stopped(touched)
+	s.move(touched)
+}
+
+// move finds a place for ops that have none and sends what may leave, from some servers and from where it
+// found one: after a change only there, since the rest is looked at with the next sweep.
+func (s *Scheduler) move(from []*osd) {
+	for _, p := range s.held {
+		if p.osd == nil {
+			if s.house(p); p.osd != nil && len(from) < len(s.order) {
+				from = append(from, p.osd)
+			}
+		}
+	}
+	for _, o := range from {
+		if o.holding > 0 {
+			s.pump(o)
+		}
+	}
+}
+
+// ---- Health of a disk server ----
+
+// healths is read by judge; a pair that is missing changes nothing. It guards against servers that died or
+// are silent, and should hold against any cut between this host and a server. It could harm where a server
+// merely pauses for long: it then gets one op at a time until it answers.
+var healths = map[health]map[finding]struct {
+	next   health
+	effect func(*Scheduler, *osd)
+}{
+	up:      {inLost: {doubted, narrow}, inBorn: {up, narrow}},
+	doubted: {inGood: {up, nil}, inLost: {down, (*Scheduler).lay}, inBorn: {up, narrow}},
+	down:    {inGood: {up, narrow}, inTime: {trial, nil}, inBorn: {up, narrow}},
+	trial:   {inGood: {up, narrow}, inLost: {down, (*Scheduler).lay}, inBorn: {up, narrow}},
+}
+
+func (s *Scheduler) judge(o *osd, in finding) {
+	rule, ok := healths[o.health][in]
+	if !ok {
+		return
+	}
+	if o.health != rule.next && (o.health == down || rule.next == down) {
+		s.logf("osd %s: %s, was %s", o.OSD, rule.next, o.health)
+	}
+	o.health, o.since = rule.next, s.now
+	if rule.effect != nil {
+		rule.effect(s, o)
+	}
+}
+
+func narrow(_ *Scheduler, o *osd) { o.window, o.rest = floor, 0 }
+
+// lay leaves a disk server alone, longer each time, up to the longest target latency.
+func (s *Scheduler) lay(o *osd) {
+	shortest, longest := s.targets()
+	o.rest = min(max(time.Duration(past*float64(o.rest)), shortest/2), longest)
+}
+
+// ---- Taking and placing ops ----
+
+func (s *Scheduler) take(e honeyplank.Op) {
+	if s.ops[e.ID] != nil {
+		return
+	}
+	s.taken = append(recent(s.taken, s.now-get[time.Duration](s.set, "budget.window")), s.now)
+	// A next try's target latency runs from the first, which shows in how much less time it brings. One with
+	// less time than its target latency comes from a client in a hurry: it is wanted within that time.
+	left, target := e.Timeout-s.now, s.now+pick[time.Duration](s.set, "optypes.target_latency", e.Type)
+	if e.Timeout < target && !e.Retry {
+		target = e.Timeout
+	} else if e.Type >= 0 && e.Type < len(s.patient) {
+		s.patient[e.Type] = max(s.patient[e.Type], left)
+		target -= s.patient[e.Type] - left
+	}
+	p := &op{Op: e, lot: s.rng.Float64(), target: target}
+	s.ops[e.ID] = p
+	if e.Keyed && pick[bool](s.set, "optypes.ordered", e.Type) {
+		s.line(p)
+	}
+	s.open(p)
+	_, longest := s.targets()
+	s.tally(p, s.due(p), 2*longest)
+	if s.house(p); p.queue != nil {
+		p.queue.thinkt.gap(s.now, avgA, avgB)
+		p.queue.demand.add(s.now, p.Units, 2*longest)
+		s.pump(p.osd)
+	}
+	if !p.over && !p.busy() && s.useless(p) {
+		s.answer(p)
+	}
+}
+
+// house puts a held op into a queue: at the holder of its data, or for a new object at the first disk
+// server of the volume's ranking that has not enough already.
+func (s *Scheduler) house(p *op) {
+	var home *osd
+	for _, o := range s.holders[p.Cell] { // the healthiest, of those the one that has run for longest
+		if home == nil || o.health < home.health || o.health == home.health && o.Started < home.Started {
+			home = o
+		}
+	}
+	if p.Cell == honeyplank.NewObject {
+		least := math.Inf(1)
+		for _, o := range s.ranking(p.volume, p.Volume) {
+			if !s.sound(o) || !s.mayDispatch(p, o) {
+				continue
+			}
+			load := float64(1+o.out+o.holding) / s.places(o, spareOfTarget)
+			if load < least {
+				home, least = o, load
+			}
+			if load < 1 {
+				break
+			}
+		}
+	}
+	if home != nil {
+		home.keep(p)
+		p.queue.lastSeen = s.now
+	}
+}
+
+// sound tells whether a disk server may be given new objects: not where errors come back fast, which would
+// otherwise look like room, nor where it is cold or down. It could harm when most servers fail at once.
+func (s *Scheduler) sound(o *osd) bool {
+	live := o.health == up || o.health == trial && o.out == 0
+	return live && o.failing < failingTooMuch && s.coldRoom(o, 1, 1, false)
+}
+
+// ---- Slices (iShare) ----
+
+// turns is read by pump; a pair that is missing ends the pump.
+var turns = map[turn]map[sight]struct {
+	next   turn
+	effect func(*Scheduler, *osd)
+}{
+	resting: {seeOthers: {serving, (*Scheduler).begin}},
+	serving: {
+		seeOwn:   {serving, (*Scheduler).sendOwn},
+		seeDue:   {resting, (*Scheduler).end},
+		seeSpent: {resting, (*Scheduler).end},
+		seeLong:  {resting, (*Scheduler).end},
+		seeCheap: {serving, (*Scheduler).handOver},
+		seeLull:  {waiting, (*Scheduler).lull},
+	},
+	waiting: {
+		seeOwn:   {serving, (*Scheduler).sendOwn},
+		seeDue:   {resting, (*Scheduler).end},
+		seeSpent: {resting, (*Scheduler).end},
+		seeLong:  {resting, (*Scheduler).end},
+		seeCheap: {serving, (*Scheduler).handOver},
+		seeLull:  {waiting, (*Scheduler).fill},
+	},
+}
+
+func (s *Scheduler) pump(o *osd) {
+	for {
+		rule, ok := turns[o.turn][s.look(o)]
+		if !ok {
+			return
+		}
+		o.turn = rule.next
+		rule.effect(s, o)
+	}
+}
+
+// look tells what the loop is to act on.
+func (s *Scheduler) look(o *osd) sight {
+	var own *op
+	if o.turn != resting {
+		own = s.choose(o, o.served)
+	}
+	other := s.next(o)
+	switch {
+	case own == nil && other == nil:
+		return seeNothing
+	case o.turn == resting:
+		return seeOthers
+	case own != nil && other != nil && !s.due(own) && s.due(s.choose(o, other)):
+		return seeDue
+	case other != nil && s.now >= o.until:
+		return seeSpent
+	case own != nil:
+		return seeOwn
+	case o.served.thinkt.value(avgC) >= o.until-s.now:
+		return seeLong
+	case s.cheaper(o) != nil:
+		return seeCheap
+	case o.out == 0 || o.turn == waiting && s.now >= o.waits:
+		return seeLong
+	}
+	return seeLull
+}
+
+// cheaper is the paper's await test; the node's mean await stands for the longest seek.
+func (s *Scheduler) cheaper(o *osd) *queue {
+	limit, own := o.meanAwait(avgC), o.served.await.value(avgC)
+	for _, q := range o.ring() {
+		a := q.await.value(avgC)
+		if q != o.served && q.round < o.round && a <= own && a < limit && s.choose(o, q) != nil {
+			return q
+		}
+	}
+	return nil
+}
+
+// next is the volume whose slice comes next: one not served this round, with ops inside its reserve first.
+func (s *Scheduler) next(o *osd) *queue {
+	var found *queue
+	least := math.MaxInt
+	for _, q := range o.ring() {
+		p := s.choose(o, q)
+		if q == o.served || p == nil {
+			continue
+		}
+		if class := 2*count(!s.due(p)) + count(q.round >= o.round); class < least {
+			found, least = q, class
+		}
+	}
+	return found
+}
+
+func (s *Scheduler) begin(o *osd) {
+	q := s.next(o)
+	if q.round >= o.round {
+		o.round++
+	}
+	s.serve(o, q)
+}
+
+func (s *Scheduler) handOver(o *osd) { s.serve(o, s.cheaper(o)) }
+
+// serve starts a slice: the volumes with held ops share a round of a part of the shortest target latency.
+func (s *Scheduler) serve(o *osd, q *queue) {
+	shortest, _ := s.targets()
+	slice := s.weight(q.volume.plan) * sliceOfTarget * float64(shortest) / float64(max(o.busy(), 1))
+	o.served, q.round, o.until = q, o.round, s.now+max(time.Duration(slice), s.sweepEvery())
+}
+
+func (s *Scheduler) end(o *osd) { o.served = nil }
+
+func (s *Scheduler) sendOwn(o *osd) { s.send(s.choose(o, o.served), o) }
+
+// lull begins the wait; what it leaves of the window goes to others at once.
+func (s *Scheduler) lull(o *osd) {
+	o.waits = min(s.now+o.served.thinkt.value(avgC), o.until)
+	s.fill(o)
+}
+
+func (s *Scheduler) fill(o *osd) { s.send(s.choose(o, s.next(o)), o) }
+
+// choose picks the op of a volume that leaves next: a further dispatch, then the run under way, then the
+// one whose target latency is over first. It returns nil where none may leave now.
+func (s *Scheduler) choose(o *osd, q *queue) *op {
+	var found *op
+	for _, p := range q.held {
+		if before(o, p, found) && s.room(o, p) && s.mayDispatch(p, o) {
+			found = p
+		}
+	}
+	return found
+}
+
+func before(o *osd, p, than *op) bool {
+	if than == nil || p.early != than.early {
+		return than == nil || p.early
+	}
+	if run := p.Keyed && p.Key == o.lastKey; run != (than.Keyed && than.Key == o.lastKey) {
+		return run
+	}
+	return p.target < than.target
+}
+
+// room tells whether the window has room for an op. It gives only the part that the node's latency leaves,
+// less to ops beyond the reserve. It guards against windows of many hosts adding up past what a node serves
+// in time, and should hold against slow and crowded nodes too. It could harm where long ops are the rule.
+func (s *Scheduler) room(o *osd, p *op) bool {
+	trying := o.health == trial && o.out > 0 && s.now-o.oldest <= o.rest
+	if o.health == down || trying || s.now+s.soonest(o) >= p.Timeout { // or the client would be gone
+		return false
+	}
+	due, excess := s.due(p), 1.0
+	window := s.places(o, dueOfTarget)
+	if !due {
+		window, excess = s.places(o, spareOfTarget), s.excess(p)
+	} else if p.Keyed && p.Key == o.lastKey { // a run under way reaches the node together
+		window = max(past*window, past)
+	}
+	if o.out > 0 || window >= 1 {
+		return float64(o.out) < window
+	}
+	return p.lot*excess < window/(1-window)
+}
+
+// excess is how far a volume asks for more at a node than others do by its weight, as seen by this host: with
+// few ops a host, lots stand for the slices that queues too short would need.
+func (s *Scheduler) excess(p *op) float64 {
+	_, longest := s.targets()
+	usual := s.weight(p.Plan) * mean(get[[]float64](s.set, "plans.rate")) / float64(p.volume.hosts)
+	if usual <= 0 || p.queue == nil {
+		return 1
+	}
+	return p.queue.demand.near(usual, 2*longest) / usual
+}
+
+// weight is a plan's against the mean.
+func (s *Scheduler) weight(plan int) float64 {
+	if w := pick[float64](s.set, "plans.weight", plan) / mean(get[[]float64](s.set, "plans.weight")); w > 0 {
+		return w
+	}
+	return 1
+}
+
+// places is what the node's latency leaves of the window for ops that may take a part of the target latency.
+// Below one it falls steeply, but not below the hosts' even parts of what the node serves within the target
+// latency, two at a time: while hosts are few, one op of each always fits.
+func (s *Scheduler) places(o *osd, part float64) float64 {
+	shortest, _ := s.targets()
+	latency, hosts := s.latency(o), float64(max(get[int](s.set, "hosts"), 1))
+	if latency <= 0 || shortest <= 0 {
+		return o.window
+	}
+	places := o.window * min(1, part*shortest.Seconds()/latency)
+	if places >= 1 {
+		return places
+	}
+	even := past * shortest.Seconds() / (hosts * o.best * get[float64](s.set, "units.mean"))
+	return min(1, max(places*places, even))
+}
+
+// ---- What is due to a volume ----
+
+// fillUp brings the volume's stores up to now. Of the limit this host counts an even part; of the reserve its
+// part of what the volume is served, at least an even one.
+func (s *Scheduler) fillUp(v *volume) {
+	gap, hosts := (s.now - v.filled).Seconds(), float64(v.hosts)
+	v.filled = s.now
+	reserve, limit := pick[float64](s.set, "plans.reserve", v.plan), pick[float64](s.set, "plans.limit", v.plan)
+	part := reserve / hosts
+	if v.total > 0 {
+		v.served.add(s.now, 0, 2*get[time.Duration](s.set, "meter.period"))
+		part = max(part, reserve*min(1, v.served.rate()/v.total))
+	}
+	v.reserve = min(v.reserve+gap*part, reserve+get[float64](s.set, "units.largest"))
+	v.limit = min(v.limit+gap*limit/hosts, pick[float64](s.set, "plans.burst", v.plan)/hosts)
+}
+
+// due tells whether an op is inside its volume's reserve, as far as this host's store of it lasts.
+func (s *Scheduler) due(p *op) bool {
+	s.fillUp(p.volume)
+	return p.target > s.now && p.volume.reserve >= p.Units
+}
+
+// ---- Rules ----
+
+// mayDispatch holds an op to the rules: attempts, kind, drains, cold starts, order, budget and limit.
+func (s *Scheduler) mayDispatch(p *op, o *osd) bool {
+	home := p.Cell == honeyplank.NewObject || p.Cell == o.Cell
+	if p.begun || !home || o.State != honeyplank.On || p.Timeout <= s.now {
+		return false
+	}
+	if len(p.sends) > 0 && (!s.repeats(p, o) || !s.budget() || o.credit < 1) {
+		return false
+	}
+	due := s.due(p) // brings the stores up to now
+	limited := pick[float64](s.set, "plans.limit", p.volume.plan) > 0
+	if limited && len(p.sends) == 0 && p.volume.limit < p.Units {
+		return false
+	}
+	return s.turnOf(p) && s.coldRoom(o, p.Units, p.lot, due)
+}
+
+// repeats tells whether the kind of an op allows another dispatch at this disk server.
+func (s *Scheduler) repeats(p *op, o *osd) bool {
+	kind := pick[honeyplank.Kind](s.set, "optypes.kind", p.Type)
+	scope := pick[honeyplank.Scope](s.set, "optypes.scope", p.Type)
+	for _, d := range p.sends {
+		far := scope == honeyplank.ScopeZone && d.osd.Zone != o.Zone ||
+			scope == honeyplank.ScopeCell && d.osd.Cell != o.Cell
+		late := s.now >= d.at+pick[time.Duration](s.set, "optypes.remember", p.Type)
+		switch {
+		case !d.done && !get[bool](s.set, "dispatches.parallel"):
+			return false
+		case d.done && !d.maybe:
+		case kind == honeyplank.OnceOnly || kind == honeyplank.Deduplicated && (far || late):
+			return false
+		}
+	}
+	return true
+}
+
+// harmless tells whether a throttling answer may be given: trying again must do no harm.
+func (s *Scheduler) harmless(p *op) bool {
+	kind := pick[honeyplank.Kind](s.set, "optypes.kind", p.Type)
+	anywhere := pick[honeyplank.Scope](s.set, "optypes.scope", p.Type) == honeyplank.ScopeAll
+	return kind == honeyplank.Replayable || kind == honeyplank.Deduplicated && anywhere || p.neverRan()
+}
+
+// budget tells whether one more further dispatch fits into the sliding window.
+func (s *Scheduler) budget() bool {
+	free, stated := s.set["budget.free"].(float64)
+	if !stated {
+		return true
+	}
+	from := s.now - get[time.Duration](s.set, "budget.window")
+	s.taken, s.extras = recent(s.taken, from), recent(s.extras, from)
+	return float64(len(s.extras)+1) <= free+get[float64](s.set, "budget.share")*float64(len(s.taken))
+}
+
+// turnOf tells whether an op of an ordered type has its key's turn.
+func (s *Scheduler) turnOf(p *op) bool {
+	k := p.key
+	return k == nil || k.ops[0] == p && (s.now >= k.rest || k.restBy == p.ID)
+}
+
+// coldRoom keeps a disk server that has just started below this host's part of what it always bears. The
+// part grows no faster than the slowest warm-up. Every dispatch of the last window counts. Where many hosts
+// leave a part below a mean op, lots keep the mean of what this host sends within it, reserves first. It
+// guards against pushing the server over; were most of a fleet's ops for one, chance would not hold.
+func (s *Scheduler) coldRoom(o *osd, units, lot float64, due bool) bool {
+	window, warm := get[time.Duration](s.set, "cold.window"), get[time.Duration](s.set, "cold.time")
+	o.trim(s.now - window)
+	if o.Started <= 0 || window <= 0 || s.now >= o.Started+warm+window {
+		return true
+	}
+	from, grown := get[float64](s.set, "cold.from"), 1.0
+	if age := s.now - o.Started; from > 0 && from < 1 && age > 0 && warm > 0 {
+		grown = (from + (1-from)*min(1, float64(age)/float64(warm))) / from
+	}
+	part, used := grown*get[float64](s.set, "cold.units")/float64(max(get[int](s.set, "hosts"), 1)), o.logged()
+	if used+units <= part || part >= get[float64](s.set, "units.mean") || used > 0 {
+		return used+units <= part
+	}
+	each := window.Seconds() / float64(max(s.running, 1))
+	first, others := s.demand[0].rate()*each, s.demand[1].rate()*each
+	return due && lot*first < part || lot*others < part-first
+}
+
+// ---- Sending and answering ----
+
+func (s *Scheduler) send(p *op, o *osd) {
+	v := p.volume
+	if len(p.sends) > 0 {
+		s.extras = append(s.extras, s.now)
+		o.credit--
+	} else {
+		v.limit -= p.Units
+	}
+	if v.reserve > 0 { // from an empty store nothing is taken: no debt but that of one op
+		v.reserve -= p.Units
+	}
+	if o.out == 0 || o.health == trial {
+		o.oldest = s.now
+	}
+	s.book(p, o)
+	s.act(honeyplank.Dispatch{Op: p.ID, OSD: o.OSD})
+}
+
+// outcomes tells what each end of a dispatch means: whether it may have run, whether it may be running
+// still, and what it says of the disk server.
+var outcomes = map[honeyplank.Code]struct {
+	maybe, runs bool
+	says        finding
+	effect      func(*Scheduler, *osd, *op, honeyplank.Outcome)
+}{
+	honeyplank.Acked:       {maybe: true, says: inGood, effect: (*Scheduler).measure},
+	honeyplank.Errored:     {maybe: true, says: inGood, effect: (*Scheduler).blame},
+	honeyplank.Full:        {says: inGood, effect: (*Scheduler).ranOut},
+	honeyplank.TimedOut:    {maybe: true, runs: true, effect: (*Scheduler).ranOut},
+	honeyplank.Unconnected: {says: inLost},
+	honeyplank.Reset:       {maybe: true, runs: true, says: inLost},
+	honeyplank.Cancelled:   {maybe: true, runs: true},
+	honeyplank.Moot:        {},
+}
+
+func (s *Scheduler) outcome(e honeyplank.Outcome) {
+	o, p, way := s.osds[e.OSD], s.ops[e.Op], outcomes[e.Code]
+	if o == nil || p == nil || !p.close(e.Dispatch, way.maybe) {
+		return
+	}
+	o.out--
+	if way.says == inGood {
+		o.oldest = s.now
+	}
+	s.judge(o, way.says)
+	if way.effect != nil {
+		way.effect(s, o, p, e)
+	}
+	if k := p.key; k != nil && way.runs {
+		k.rest, k.restBy = s.now+get[time.Duration](s.set, "order.settle"), p.ID
+	}
+	if p.over || e.Done {
+		s.forget(p)
+	} else if !p.busy() && p.queue == nil {
+		s.again(p, o)
+	}
+	if k := p.key; k != nil && len(k.ops) > 0 && k.ops[0].osd != nil { // the next of the key may leave now
+		s.pump(k.ops[0].osd)
+	}
+	s.pump(o)
+}
+
+// again holds an op once more after a dispatch that brought no answer, or gives it up. Credit bounds what
+// follows: it guards against retries on a server that answers little, whatever ails it, and could harm where
+// a healthy server's first answers are still due.
+func (s *Scheduler) again(p *op, o *osd) {
+	if len(p.sends) < get[int](s.set, "dispatches.max") && s.repeats(p, o) && s.now < p.target {
+		p.early, p.osd = true, nil
+		s.held = append(s.held, p)
+		if s.house(p); !s.useless(p) {
+			return
+		}
+	}
+	s.answer(p)
+}
+
+// useless tells whether a held op can no longer earn its utility: its target latency would be over before
+// an answer of the usual time there, or the client is about to give up. It guards against late answers that
+// cost a node as much as good ones, whatever fills it; after a short stall it gives up some ops too early.
+func (s *Scheduler) useless(p *op) bool {
+	soon := s.now
+	if p.osd != nil {
+		soon += s.soonest(p.osd)
+	}
+	return soon >= p.target || s.now+s.sweepEvery() >= p.Timeout
+}
+
+// answer gives an op up at once.
+func (s *Scheduler) answer(p *op) {
+	advice := min(pick[time.Duration](s.set, "optypes.target_latency", p.Type),
+		get[time.Duration](s.set, "throttle.advice.max"))
+	if !get[bool](s.set, "throttle.advice") {
+		advice = 0
+	}
+	if s.harmless(p) {
+		s.act(honeyplank.Throttle{Op: p.ID, RetryAfter: advice})
+	} else {
+		s.act(honeyplank.Abort{Op: p.ID})
+	}
+	s.forget(p)
+}
+
+// ---- What answers tell ----
+
+func (s *Scheduler) measure(o *osd, p *op, e honeyplank.Outcome) {
+	o.credit = min(o.credit+1, creditMost)
+	o.failing -= blending * o.failing
+	s.learn(o, e.Elapsed.Seconds())
+	o.perUnit = blend(o.perUnit, e.Elapsed.Seconds()/max(p.Units, 1), blending)
+	if o.best == 0 || o.perUnit < o.best {
+		o.best = o.perUnit
+	}
+	o.best += bestForgets * (o.perUnit - o.best)
+	o.answers++
+	spell := o.perUnit > past*o.best
+	if spell && !o.spell {
+		halve(o)
+	} else if o.perUnit < near*o.best && o.answers >= o.window {
+		o.window, o.answers = min(ceiling, o.window+1), 0
+	}
+	o.spell = spell
+	q := o.queueOf(p.volume)
+	q.await.gap(s.now, avgA, avgB)
+	q.lastSeen = s.now
+	p.volume.served.add(s.now, p.Units, 2*get[time.Duration](s.set, "meter.period"))
+	if e.Used > 0 {
+		p.volume.total = float64(e.Used-1) / 100 * pick[float64](s.set, "plans.rate", p.Plan)
+	}
+}
+
+// latency is how long a node's answers take, as far as this host can tell by now: what it saw there gives way
+// to what it sees everywhere, since with many hosts answers of one node are rare. It guards against beliefs
+// that outlive what they tell of; where one node alone stays slow, it is tried again too soon.
+func (s *Scheduler) latency(o *osd) float64 { return s.usual + (o.latency-s.usual)*s.fresh(o) }
+
+// fresh is what is left of the weight of a node's last answer.
+func (s *Scheduler) fresh(o *osd) float64 {
+	_, longest := s.targets()
+	return math.Exp(-float64(s.now-o.told) / float64(max(longest, s.sweepEvery())))
+}
+
+func (s *Scheduler) learn(o *osd, took float64) {
+	o.latency = blend(s.latency(o), took, max(blending, 1-s.fresh(o)))
+	s.usual, o.told = blend(s.usual, took, blending), s.now
+}
+
+// soonest is when an answer of a node is worth hoping for: many come in half of their mean time.
+func (s *Scheduler) soonest(o *osd) time.Duration {
+	return time.Duration(s.latency(o) / 2 * float64(time.Second))
+}
+
+// ranOut takes a time-out for an answer that takes at least as long, up to the shortest target latency (past
+// that it may be lost rather than late), and a full queue for one past the longest.
+func (s *Scheduler) ranOut(o *osd, _ *op, e honeyplank.Outcome) {
+	shortest, longest := s.targets()
+	least := min(e.Elapsed, shortest)
+	if e.Code == honeyplank.Full {
+		least = longest
+		halve(o)
+	}
+	if least.Seconds() > s.latency(o) {
+		s.learn(o, least.Seconds())
+	}
+}
+
+func (s *Scheduler) blame(o *osd, _ *op, _ honeyplank.Outcome) {
+	o.failing += blending * (1 - o.failing)
+}
+
+func halve(o *osd) { o.window = max(floor, o.window/2) }
+
+// ---- The sweep ----
+
+func (s *Scheduler) sweep() {
+	s.timer(s.now+s.sweepEvery(), "sweep")
+	_, longest := s.targets()
+	for _, o := range s.order {
+		if o.out > 0 && s.now-o.oldest > longest/2 {
+			s.judge(o, inLost)
+			o.oldest = s.now
+		}
+		if o.health == down && s.now-o.since >= o.rest {
+			s.judge(o, inTime)
+		}
+	}
+	s.move(s.order)
+	for _, p := range append([]*op(nil), s.held...) {
+		if s.useless(p) {
+			s.answer(p)
+		}
+	}
+	late := s.now-s.asked > get[time.Duration](s.set, "list.ask_within")/2
+	if late && !s.watched && get[bool](s.set, "list.ask") {
+		s.ask()
+	}
+	s.tidy(idle)
+}
--- /dev/null
+++ b/policy/earlier/state.go
@@ -0,0 +1,560 @@
+package earlier
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math"
+	"math/rand"
+	"slices"
+	"sort"
+	"strconv"
+	"time"
+
+	"honeyplank"
+)
+
+// This file holds records and queues. Nothing here decides.
+
+// osd is the one record of a disk server.
+type osd struct {
+	honeyplank.Member
+	placed  bool // counted among those that run
+	health  health
+	since   time.Duration // start of the present health state
+	rest    time.Duration // how long it is left alone once down
+	window  float64       // ops of this host that may be out here
+	out     int           // ops of this host that are out here
+	oldest  time.Duration // since when something has been out without any answer
+	latency float64       // recent answer time, in seconds
+	told    time.Duration // when latency last took something in
+	perUnit float64       // recent answer time for each unit of size, in seconds
+	best    float64       // the best of perUnit, slowly forgotten
+	answers float64       // answers since the window last grew
+	spell   bool          // latency stays past twice its best
+	credit  float64       // further dispatches earned by answers
+	failing float64       // recent share of answers that were errors
+	log     []sent        // units sent within the window of the cold rule
+	holding int           // ops held here
+	queues  []*queue      // in ring order
+	served  *queue
+	turn    turn
+	until   time.Duration // end of the served volume's slice
+	waits   time.Duration // end of the wait for its next op
+	round   int
+	lastKey int64 // key of the last op sent, to keep runs together
+}
+
+type sent struct {
+	at    time.Duration
+	units float64
+}
+
+// queue is a volume at a node.
+type queue struct {
+	volume   *volume
+	await    average // completion gaps
+	thinkt   average // arrival gaps
+	demand   flow    // units taken
+	held     []*op
+	round    int // the round in which it was last served
+	lastSeen time.Duration
+}
+
+// volume counts what is due to a volume through this host.
+type volume struct {
+	plan     int
+	hosts    int
+	reserve  float64 // units of the reserve left
+	limit    float64 // units of this host's part of the limit left
+	filled   time.Duration
+	served   flow    // units this host was served
+	total    float64 // units a second served everywhere, by the late meter
+	ranked   []*osd
+	open     int // ops taken and not over
+	lastSeen time.Duration
+}
+
+// op is an op that this scheduler owes an answer.
+type op struct {
+	honeyplank.Op
+	target time.Duration // clock time at which its target latency is over
+	lot    float64       // its own draw from [0, 1), for shares smaller than an op
+	sends  []send
+	begun  bool
+	over   bool // answered or gone, kept while a dispatch has no outcome
+	volume *volume
+	osd    *osd   // where it is held or was last sent
+	queue  *queue // where it is held; nil while it is out
+	key    *key
+	early  bool // it comes before others of its volume: a further dispatch
+}
+
+type send struct {
+	osd   *osd
+	at    time.Duration
+	done  bool
+	maybe bool // it may have run
+}
+
+// key keeps ops of ordered types apart.
+type key struct {
+	ops    []*op // in the order taken
+	rest   time.Duration
+	restBy honeyplank.OpID
+}
+
+// average is the paper's decayed mean: (total+c)/sum.
+type average struct {
+	total, sum float64
+	last       time.Duration
+	seen       bool
+}
+
+// gap takes in the time since the last event; the first one only starts the count.
+func (m *average) gap(now time.Duration, a, b float64) {
+	if m.seen {
+		m.total = a*m.total + b*float64(now-m.last)/float64(time.Millisecond)
+		m.sum = a*m.sum + b
+	}
+	m.last, m.seen = now, true
+}
+
+// value is the mean gap, without end while nothing has been seen.
+func (m *average) value(c float64) time.Duration {
+	if m.sum == 0 {
+		return math.MaxInt64
+	}
+	return time.Duration((m.total + c) / m.sum * float64(time.Millisecond))
+}
+
+// flow is a decayed rate: units over the time in which they came.
+type flow struct {
+	units, time float64
+	last        time.Duration
+}
+
+func (f *flow) add(now time.Duration, units float64, memory time.Duration) {
+	memory = max(memory, time.Millisecond)
+	if f.time == 0 { // as if nothing had come for as long as it remembers
+		f.last = now - memory
+	}
+	gap := (now - f.last).Seconds()
+	keep := math.Exp(-gap / memory.Seconds())
+	f.units, f.time, f.last = f.units*keep+units, f.time*keep+gap, now
+}
+
+// rate is in units a second, without end while nothing is known.
+func (f *flow) rate() float64 { return f.units / f.time }
+
+// near is the rate drawn towards a figure, which counts as if seen for a time.
+func (f *flow) near(figure float64, memory time.Duration) float64 {
+	return (f.units + figure*memory.Seconds()) / max(f.time+memory.Seconds(), 1e-9)
+}
+
+// blend moves a mean towards a new value, which is the mean while there is none.
+func blend(mean, x, weight float64) float64 {
+	if mean == 0 {
+		return x
+	}
+	return mean + weight*(x-mean)
+}
+
+// count is 1 for what holds.
+func count(holds bool) int {
+	if holds {
+		return 1
+	}
+	return 0
+}
+
+func mean(list []float64) (m float64) {
+	for _, x := range list {
+		m += x / float64(len(list))
+	}
+	return m
+}
+
+// get returns a setting by its name, or the type's zero value.
+func get[T any](settings map[string]any, name string) T {
+	v, _ := settings[name].(T)
+	return v
+}
+
+// pick returns the i-th value of a setting that is a list.
+func pick[T any](settings map[string]any, name string, i int) (v T) {
+	if list := get[[]T](settings, name); i >= 0 && i < len(list) {
+		v = list[i]
+	}
+	return v
+}
+
+// rank is the rendezvous hash of a volume and a disk server.
+func rank(volume int64, id honeyplank.OSDID) uint64 {
+	h := fnv.New64a()
+	h.Write(strconv.AppendInt(nil, volume, 10))
+	h.Write([]byte(id))
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	return x ^ x>>33
+}
+
+// ranking returns the disk servers in a volume's order, made anew only when there are more of them.
+func (s *Scheduler) ranking(v *volume, id int64) []*osd {
+	if len(v.ranked) != len(s.order) {
+		v.ranked = append([]*osd(nil), s.order...)
+		sort.SliceStable(v.ranked, func(i, j int) bool { return rank(id, v.ranked[i].OSD) > rank(id, v.ranked[j].OSD) })
+	}
+	return v.ranked
+}
+
+// queueOf returns the volume's queue at a node, made when it is missing.
+func (o *osd) queueOf(v *volume) *queue {
+	for _, q := range o.queues {
+		if q.volume == v {
+			return q
+		}
+	}
+	q := &queue{volume: v, round: -1}
+	o.queues = append(o.queues, q)
+	return q
+}
+
+// keep holds an op in its volume's queue at a node; leave takes it out again.
+func (o *osd) keep(p *op) {
+	p.osd, p.queue = o, o.queueOf(p.volume)
+	p.queue.held = append(p.queue.held, p)
+	o.holding++
+}
+
+func (p *op) leave() {
+	if p.queue != nil {
+		p.queue.held = without(p.queue.held, p)
+		p.osd.holding--
+		p.queue = nil
+	}
+}
+
+func without[T comparable](list []T, x T) []T {
+	for i, y := range list {
+		if y == x {
+			return append(list[:i], list[i+1:]...)
+		}
+	}
+	return list
+}
+
+// recent drops what lies before a time from a log kept in order.
+func recent(log []time.Duration, from time.Duration) []time.Duration {
+	i := sort.Search(len(log), func(i int) bool { return log[i] >= from })
+	return log[i:]
+}
+
+// Scheduler is one instance. It shares nothing with others.
+type Scheduler struct {
+	set     map[string]any
+	rng     *rand.Rand
+	now     time.Duration
+	born    time.Duration
+	started bool
+	out     []honeyplank.Action
+	osds    map[honeyplank.OSDID]*osd
+	order   []*osd         // by id
+	running int            // how many are listed as on
+	demand  [2]flow        // units taken for data that lies somewhere: inside a reserve, and beyond
+	holders map[int][]*osd // disk servers by the data they hold
+	usual   float64        // recent answer time of all nodes, in seconds
+	ops     map[honeyplank.OpID]*op
+	held    []*op // in the order taken; also those with no disk server
+	volumes map[int64]*volume
+	keys    map[int64]*key
+	taken   []time.Duration // ops taken, for the budget
+	extras  []time.Duration // further dispatches, for the budget
+	patient []time.Duration // by op type: the longest that a client was seen to wait
+	watched bool
+	asked   time.Duration
+	backoff time.Duration
+}
+
+func (s *Scheduler) act(a honeyplank.Action) { s.out = append(s.out, a) }
+
+func (s *Scheduler) timer(at time.Duration, name string) {
+	s.act(honeyplank.SetTimer{At: at, Name: name})
+}
+
+func (s *Scheduler) logf(format string, arguments ...any) {
+	s.act(honeyplank.Log{Text: fmt.Sprintf(format, arguments...)})
+}
+
+// shortest and longest are the extremes of the target latencies.
+func (s *Scheduler) targets() (shortest, longest time.Duration) {
+	for i, t := range get[[]time.Duration](s.set, "optypes.target_latency") {
+		if i == 0 || t < shortest {
+			shortest = t
+		}
+		longest = max(longest, t)
+	}
+	return shortest, longest
+}
+
+type health int
+
+const (
+	up health = iota
+	doubted
+	down
+	trial
+)
+
+func (h health) String() string { return [...]string{"up", "doubted", "down", "trial"}[h] }
+
+type finding int
+
+const (
+	inNothing finding = iota
+	inGood            // an answer, whatever it was
+	inLost            // no connection, a reset, or silence
+	inBorn            // the list tells of a new start
+	inTime            // its rest has passed
+)
+
+type turn int
+
+const (
+	resting turn = iota // no volume is served
+	serving
+	waiting // for the next op of the served volume
+)
+
+type sight int
+
+const (
+	seeNothing sight = iota // nothing can leave now
+	seeOthers               // only volumes that are not served have an op that can leave
+	seeOwn                  // the served volume has one
+	seeDue                  // only beyond its reserve, while another's is within
+	seeSpent                // the slice is over, another has one
+	seeLong                 // it has none, and thinkt reaches past its slice
+	seeCheap                // it has none, and another that completes faster has one
+	seeLull                 // it has none, and waiting is worth while
+)
+
+func (p *op) busy() bool {
+	for _, d := range p.sends {
+		if !d.done {
+			return true
+		}
+	}
+	return false
+}
+
+// forget ends an op; its record stays while a dispatch has no outcome, since its key must wait for that.
+func (s *Scheduler) forget(p *op) {
+	p.leave()
+	s.held = without(s.held, p)
+	p.over = true
+	if p.busy() {
+		return
+	}
+	delete(s.ops, p.ID)
+	p.volume.open--
+	if p.key != nil {
+		p.key.ops = without(p.key.ops, p)
+	}
+}
+
+// tidy drops entries that have been idle for long.
+func (s *Scheduler) tidy(idle time.Duration) {
+	for _, o := range s.order {
+		kept := o.queues[:0]
+		for _, q := range o.queues {
+			if len(q.held) > 0 || q == o.served || s.now-q.lastSeen < idle {
+				kept = append(kept, q)
+			}
+		}
+		o.queues = kept
+	}
+	for id, v := range s.volumes {
+		if v.open == 0 && s.now-v.lastSeen >= idle {
+			delete(s.volumes, id)
+		}
+	}
+	for id, k := range s.keys {
+		if len(k.ops) == 0 && s.now >= k.rest {
+			delete(s.keys, id)
+		}
+	}
+}
+
+// unhouse takes the held ops from a disk server that takes nothing more.
+func (o *osd) unhouse() {
+	for _, q := range o.queues {
+		for _, p := range q.held {
+			p.osd, p.queue = nil, nil
+		}
+		q.held = nil
+	}
+	o.served, o.turn, o.holding = nil, resting, 0
+}
+
+// ring lists the queues from the one after the served on.
+func (o *osd) ring() []*queue {
+	for i, q := range o.queues {
+		if q == o.served {
+			return append(append([]*queue(nil), o.queues[i+1:]...), o.queues[:i+1]...)
+		}
+	}
+	return o.queues
+}
+
+// meanAwait is the mean over the volumes whose await is known.
+func (o *osd) meanAwait(c float64) time.Duration {
+	var sum, n time.Duration
+	for _, q := range o.queues {
+		if q.await.sum > 0 {
+			sum, n = sum+q.await.value(c), n+1
+		}
+	}
+	return sum / max(n, 1)
+}
+
+// busy counts the volumes with held ops.
+func (o *osd) busy() (n int) {
+	for _, q := range o.queues {
+		if len(q.held) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// add takes up the record of a disk server.
+func (s *Scheduler) add(o *osd) *osd {
+	s.osds[o.OSD] = o
+	s.order = insert(s.order, o)
+	return o
+}
+
+// insert puts a disk server into a list kept by id.
+func insert(list []*osd, o *osd) []*osd {
+	i := sort.Search(len(list), func(i int) bool { return list[i].OSD >= o.OSD })
+	return slices.Insert(list, i, o)
+}
+
+// place notes what the list says of a disk server, and with it who holds what and how many run. The work does
+// not grow with the fleet.
+func (s *Scheduler) place(o *osd, m honeyplank.Member) {
+	if o.placed {
+		s.running--
+		s.holders[o.Cell] = without(s.holders[o.Cell], o)
+	}
+	o.Member, o.placed = m, m.State == honeyplank.On
+	if o.placed {
+		s.running++
+		s.holders[o.Cell] = insert(s.holders[o.Cell], o)
+	}
+}
+
+// stopped takes from disk servers that do not run what is held for them.
+func stopped(list []*osd) {
+	for _, o := range list {
+		if !o.placed {
+			o.unhouse()
+		}
+	}
+}
+
+func (s *Scheduler) allGone() {
+	for _, o := range s.order {
+		m := o.Member
+		m.State = honeyplank.Gone
+		s.place(o, m)
+	}
+}
+
+// tally notes the units of an op whose data lies somewhere.
+func (s *Scheduler) tally(p *op, due bool, memory time.Duration) {
+	if p.Cell == honeyplank.NewObject {
+		return
+	}
+	units := [2]float64{0, p.Units}
+	if due {
+		units = [2]float64{p.Units, 0}
+	}
+	for i := range s.demand {
+		s.demand[i].add(s.now, units[i], memory)
+	}
+}
+
+// line puts an op at the end of its key's line.
+func (s *Scheduler) line(p *op) {
+	k := s.keys[p.Key]
+	if k == nil {
+		k = &key{}
+		s.keys[p.Key] = k
+	}
+	k.ops = append(k.ops, p)
+	p.key = k
+}
+
+// book notes that an op goes out to a disk server.
+func (s *Scheduler) book(p *op, o *osd) {
+	p.leave()
+	s.held = without(s.held, p)
+	p.osd, p.early = o, false
+	p.sends = append(p.sends, send{osd: o, at: s.now})
+	o.out++
+	o.log = append(o.log, sent{s.now, p.Units})
+	if p.Keyed {
+		o.lastKey = p.Key
+	}
+}
+
+// close notes how a dispatch ended; it tells whether that was news.
+func (p *op) close(n int, maybe bool) bool {
+	if n < 0 || n >= len(p.sends) || p.sends[n].done {
+		return false
+	}
+	p.sends[n].done, p.sends[n].maybe = true, maybe
+	return true
+}
+
+// open takes an op up as held, with the record of its volume.
+func (s *Scheduler) open(p *op) {
+	v := s.volumes[p.Volume]
+	if v == nil {
+		v = &volume{plan: p.Plan, filled: s.now, reserve: math.Inf(1)}
+		s.volumes[p.Volume] = v
+	}
+	v.hosts, v.lastSeen = p.Hosts, s.now
+	if v.hosts < 1 {
+		v.hosts = max(get[int](s.set, "hosts"), 1)
+	}
+	v.open++
+	p.volume = v
+	s.held = append(s.held, p)
+}
+
+// neverRan tells whether every dispatch of an op is known not to have run.
+func (p *op) neverRan() bool {
+	for _, d := range p.sends {
+		if !d.done || d.maybe {
+			return false
+		}
+	}
+	return true
+}
+
+// trim drops what was sent before a time from the log, and logged adds up the rest.
+func (o *osd) trim(from time.Duration) {
+	for len(o.log) > 0 && o.log[0].at < from {
+		o.log = o.log[1:]
+	}
+}
+
+func (o *osd) logged() (sum float64) {
+	for _, x := range o.log {
+		sum += x.units
+	}
+	return sum
+}
--- /dev/null
+++ b/policy/overload_test.go
@@ -0,0 +1,195 @@
+package policy
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"reflect"
+	"testing"
+	"time"
+
+	"honeyplank"
+	"honeyplank/policy/earlier"
+)
+
+type handler interface {
+	Handle(time.Duration, honeyplank.Event) []honeyplank.Action
+}
+
+// due is an event to come.
+type due struct {
+	at    time.Duration
+	n     int
+	event honeyplank.Event
+}
+
+type agenda []due
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].n < a[j].n
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(due)) }
+func (a *agenda) Pop() any {
+	old := *a
+	x := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return x
+}
+
+// flood is a fleet under a load of so many times what it serves: disk servers that serve 1,000 units a second each, one
+// op after another, and volumes whose ops come at random, to one scheduler. All is simulated.
+type flood struct {
+	servers, volumes int
+	load             float64
+	metered          bool // answers tell what a volume is served everywhere
+	runs             bool // ops have keys, and come as runs of them
+}
+
+// overload settings: one op type, one plan.
+func (f flood) settings() map[string]any {
+	set := figures()
+	set["optypes.target_latency"], set["optypes.op_timeout"] = []time.Duration{200 * ms}, []time.Duration{1200 * ms}
+	set["optypes.kind"], set["optypes.scope"], set["optypes.remember"] = []honeyplank.Kind{0}, []honeyplank.Scope{0}, []time.Duration{0}
+	rate := 1000 * float64(f.servers) / float64(f.volumes)
+	set["plans.rate"], set["plans.reserve"], set["units.mean"], set["units.largest"] = []float64{rate}, []float64{rate / 2}, 1.0, 4.0
+	set["meter.period"] = time.Second
+	return set
+}
+
+// play runs it for a span and hands each event to tell, which returns the actions.
+func (f flood) play(seed int64, length time.Duration, tell func(time.Duration, honeyplank.Event) []honeyplank.Action) (ops int) {
+	rng := rand.New(rand.NewSource(seed))
+	var a agenda
+	n := 0
+	add := func(at time.Duration, e honeyplank.Event) {
+		n++
+		heap.Push(&a, due{at, n, e})
+	}
+	now, free := time.Second, make([]time.Duration, f.servers)
+	var members []honeyplank.Member
+	for i := range f.servers {
+		members = append(members, member(i, 0))
+	}
+	add(now, honeyplank.List{Kind: honeyplank.Whole, Members: members})
+	each := time.Duration(float64(time.Second) / (1000 * float64(f.servers) * f.load))
+	next, key := now, int64(0)
+	type taken struct {
+		honeyplank.Op
+		sends int
+	}
+	open := map[honeyplank.OpID]*taken{}
+	for now < time.Second+length {
+		var e honeyplank.Event
+		if len(a) == 0 || next < a[0].at {
+			now = next
+			next += time.Duration(rng.ExpFloat64() * float64(each))
+			if rng.Intn(4) == 0 {
+				key = rng.Int63n(1000)
+			}
+			ops++
+			op := honeyplank.Op{ID: honeyplank.OpID(fmt.Sprint(ops)), Units: 1, Timeout: now + 1200*ms, Volume: int64(rng.Intn(f.volumes)), Cell: rng.Intn(f.servers), Hosts: 1}
+			if f.runs {
+				op.Keyed, op.Key, op.Units = true, key, float64(1+rng.Intn(3))
+			}
+			open[op.ID] = &taken{Op: op}
+			e = op
+		} else {
+			d := heap.Pop(&a).(due)
+			now, e = d.at, d.event
+			if o, ok := e.(honeyplank.Outcome); ok {
+				delete(open, o.Op)
+			}
+		}
+		for _, action := range tell(now, e) {
+			switch x := action.(type) {
+			case honeyplank.Dispatch:
+				op := open[x.Op]
+				at := -1
+				fmt.Sscanf(string(x.OSD), "osd%d", &at)
+				free[at] = max(free[at], now) + time.Duration(op.Units*float64(ms))
+				o := honeyplank.Outcome{Op: x.Op, Dispatch: op.sends, OSD: x.OSD, Code: honeyplank.Acked, Done: true, Elapsed: free[at] - now}
+				if f.metered {
+					o.Used = 1 + rng.Intn(150)
+				}
+				op.sends++
+				add(free[at], o)
+			case honeyplank.Throttle:
+				delete(open, x.Op)
+			case honeyplank.SetTimer:
+				add(x.At, honeyplank.Timer{Name: x.Name})
+			}
+		}
+	}
+	return ops
+}
+
+// floods are those that the table of docs/cost.md shows.
+var floods = map[string]flood{
+	"half of 10":  {servers: 10, volumes: 100, load: 0.5},
+	"twice 10":    {servers: 10, volumes: 100, load: 2},
+	"five of 10":  {servers: 10, volumes: 100, load: 5},
+	"twice 100":   {servers: 100, volumes: 100, load: 2},
+	"one volume":  {servers: 10, volumes: 1, load: 2},
+	"runs":        {servers: 10, volumes: 100, load: 2, runs: true},
+	"late meters": {servers: 10, volumes: 100, load: 2, metered: true},
+}
+
+// TestFloodsAlike gives both texts the same floods: the actions are the same, each event's.
+func TestFloodsAlike(t *testing.T) {
+	for name, f := range floods {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f.servers = min(f.servers, 20)
+			a, b := New(5, f.settings()), earlier.New(5, f.settings())
+			f.play(5, 400*ms, func(now time.Duration, e honeyplank.Event) []honeyplank.Action {
+				out := a.Handle(now, e)
+				if old := b.Handle(now, e); !reflect.DeepEqual(out, old) {
+					t.Fatalf("%v: on %+v the earlier text does\n%+v\nthis one\n%+v", now, e, old, out)
+				}
+				return out
+			})
+		})
+	}
+}
+
+// BenchmarkFlood is the cost of an op in the module, handled events only, at the end of half a second of each flood:
+// this text and the earlier one.
+func BenchmarkFlood(b *testing.B) {
+	for name, f := range floods {
+		for text, make := range map[string]func() handler{"now": func() handler { return New(5, f.settings()) }, "before": func() handler { return earlier.New(5, f.settings()) }} {
+			b.Run(name+"/"+text, func(b *testing.B) {
+				var spent time.Duration
+				ops, held, events := 0, 0, 0
+				for b.Loop() {
+					m := make()
+					ops += f.play(5, 500*ms, func(now time.Duration, e honeyplank.Event) []honeyplank.Action {
+						began := time.Now()
+						out := m.Handle(now, e)
+						spent += time.Since(began)
+						if events++; events%1000 == 0 {
+							if s, ok := m.(*Scheduler); ok {
+								held = max(held, s.waiting())
+							}
+						}
+						return out
+					})
+				}
+				b.ReportMetric(float64(spent.Microseconds())/float64(ops), "us/op")
+				if held > 0 {
+					b.ReportMetric(float64(held), "held")
+				}
+				b.ReportMetric(0, "ns/op")
+			})
+		}
+	}
+}
+
+// waiting is how many ops are held.
+func (s *Scheduler) waiting() (n int) {
+	for p := s.first; p != nil; p = p.after {
+		n++
+	}
+	return n
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,7 +30,7 @@
 // New makes an instance that knows nothing yet.
 func New(seed int64, settings map[string]any) *Scheduler {
 	return &Scheduler{
-		set: settings, rng: rand.New(rand.NewSource(seed)),
+		set: read(settings), rng: rand.New(rand.NewSource(seed)),
 		osds: map[honeyplank.OSDID]*osd{}, ops: map[honeyplank.OpID]*op{},
 		volumes: map[int64]*volume{}, keys: map[int64]*key{}, holders: map[int][]*osd{},
 		patient: make([]time.Duration, len(get[[]time.Duration](settings, "optypes.op_timeout"))),
@@ -43,7 +43,7 @@
 	if !s.started {
 		s.started, s.born = true, now
 		s.timer(now+s.sweepEvery(), "sweep")
-		if get[bool](s.set, "list.ask") {
+		if s.set.ask {
 			s.ask()
 		}
 	}
@@ -75,7 +75,7 @@
 
 func (s *Scheduler) sweepEvery() time.Duration {
 	shortest, _ := s.targets()
-	least := max(get[time.Duration](s.set, "step"), time.Millisecond)
+	least := max(s.set.step, time.Millisecond)
 	return max(time.Duration(sweepOfTarget*float64(shortest)), least)
 }
 
@@ -90,7 +90,7 @@
 	switch l.Kind {
 	case honeyplank.Refused: // nothing tells whether a watch still stands: watch again, ever less often
 		s.watched = false
-		most := get[time.Duration](s.set, "list.ask_within") / 4
+		most := s.set.askWithin / 4
 		s.backoff = min(max(2*s.backoff, most/16, s.sweepEvery()), max(most, s.sweepEvery()))
 		s.timer(s.now+s.backoff/2+time.Duration(s.rng.Int63n(int64(s.backoff/2)+1)), "watch")
 		return
@@ -116,14 +116,14 @@
 	if !changes {
 		touched = s.order
 	}
-	stopped(touched)
+	s.stopped(touched)
 	s.move(touched)
 }
 
 // move finds a place for ops that have none and sends what may leave, from some servers and from where it
 // found one: after a change only there, since the rest is looked at with the next sweep.
 func (s *Scheduler) move(from []*osd) {
-	for _, p := range s.held {
+	for p := s.first; p != nil && s.nowhere > 0; p = p.after {
 		if p.osd == nil {
 			if s.house(p); p.osd != nil && len(from) < len(s.order) {
 				from = append(from, p.osd)
@@ -180,10 +180,10 @@
 	if s.ops[e.ID] != nil {
 		return
 	}
-	s.taken = append(recent(s.taken, s.now-get[time.Duration](s.set, "budget.window")), s.now)
+	s.taken = append(recent(s.taken, s.now-s.set.budgetWindow), s.now)
 	// A next try's target latency runs from the first, which shows in how much less time it brings. One with
 	// less time than its target latency comes from a client in a hurry: it is wanted within that time.
-	left, target := e.Timeout-s.now, s.now+pick[time.Duration](s.set, "optypes.target_latency", e.Type)
+	left, target := e.Timeout-s.now, s.now+at(s.set.target, e.Type)
 	if e.Timeout < target && !e.Retry {
 		target = e.Timeout
 	} else if e.Type >= 0 && e.Type < len(s.patient) {
@@ -192,7 +192,7 @@
 	}
 	p := &op{Op: e, lot: s.rng.Float64(), target: target}
 	s.ops[e.ID] = p
-	if e.Keyed && pick[bool](s.set, "optypes.ordered", e.Type) {
+	if e.Keyed && at(s.set.ordered, e.Type) {
 		s.line(p)
 	}
 	s.open(p)
@@ -233,6 +233,7 @@
 		}
 	}
 	if home != nil {
+		s.nowhere--
 		home.keep(p)
 		p.queue.lastSeen = s.now
 	}
@@ -313,7 +314,8 @@
 // cheaper is the paper's await test; the node's mean await stands for the longest seek.
 func (s *Scheduler) cheaper(o *osd) *queue {
 	limit, own := o.meanAwait(avgC), o.served.await.value(avgC)
-	for _, q := range o.ring() {
+	for i, from := 0, o.after(); i < len(o.queues); i++ {
+		q := o.queues[(from+i)%len(o.queues)]
 		a := q.await.value(avgC)
 		if q != o.served && q.round < o.round && a <= own && a < limit && s.choose(o, q) != nil {
 			return q
@@ -326,7 +328,8 @@
 func (s *Scheduler) next(o *osd) *queue {
 	var found *queue
 	least := math.MaxInt
-	for _, q := range o.ring() {
+	for i, from := 0, o.after(); i < len(o.queues); i++ {
+		q := o.queues[(from+i)%len(o.queues)]
 		p := s.choose(o, q)
 		if q == o.served || p == nil {
 			continue
@@ -370,8 +373,15 @@
 // choose picks the op of a volume that leaves next: a further dispatch, then the run under way, then the
 // one whose target latency is over first. It returns nil where none may leave now.
 func (s *Scheduler) choose(o *osd, q *queue) *op {
+	if s.full(o, q) {
+		return nil
+	}
 	var found *op
+	run := q.keys[o.lastKey] > 0
 	for _, p := range q.held {
+		if found != nil && !run { // none that comes later goes before it
+			break
+		}
 		if before(o, p, found) && s.room(o, p) && s.mayDispatch(p, o) {
 			found = p
 		}
@@ -379,6 +389,37 @@
 	return found
 }
 
+// full tells, without a look at each, that none of a volume's held ops can leave a node: it is left alone,
+// their clients would be gone, or room and limit are used up for all. choose would find the same.
+func (s *Scheduler) full(o *osd, q *queue) bool {
+	trying := o.health == trial && o.out > 0 && s.now-o.oldest <= o.rest
+	if len(q.held) == 0 || o.health == down || trying {
+		return true
+	}
+	soon, last := s.now+s.soonest(o), len(q.held)-1
+	for last >= 0 && soon >= q.held[last].Timeout {
+		last--
+	}
+	if last < 0 {
+		return true
+	}
+	s.fillUp(q.volume)
+	if o.out > 0 {
+		most := s.places(o, spareOfTarget)
+		if q.volume.reserve >= q.least {
+			most = max(most, s.places(o, dueOfTarget))
+			if q.keys[o.lastKey] > 0 {
+				most = max(past*most, past)
+			}
+		}
+		if float64(o.out) >= most {
+			return true
+		}
+	}
+	limited := at(s.set.limit, q.volume.plan) > 0
+	return limited && q.again == 0 && q.volume.limit < q.least
+}
+
 func before(o *osd, p, than *op) bool {
 	if than == nil || p.early != than.early {
 		return than == nil || p.early
@@ -389,6 +430,14 @@
 	return p.target < than.target
 }
 
+// sooner is the order that a queue is kept in: that of before but for the run, then as they came to be held.
+func sooner(p, than *op) bool {
+	if p.early != than.early {
+		return p.early
+	}
+	return p.target < than.target || p.target == than.target && p.seq < than.seq
+}
+
 // room tells whether the window has room for an op. It gives only the part that the node's latency leaves,
 // less to ops beyond the reserve. It guards against windows of many hosts adding up past what a node serves
 // in time, and should hold against slow and crowded nodes too. It could harm where long ops are the rule.
@@ -414,7 +463,7 @@
 // few ops a host, lots stand for the slices that queues too short would need.
 func (s *Scheduler) excess(p *op) float64 {
 	_, longest := s.targets()
-	usual := s.weight(p.Plan) * mean(get[[]float64](s.set, "plans.rate")) / float64(p.volume.hosts)
+	usual := s.weight(p.Plan) * s.set.meanRate / float64(p.volume.hosts)
 	if usual <= 0 || p.queue == nil {
 		return 1
 	}
@@ -423,7 +472,7 @@
 
 // weight is a plan's against the mean.
 func (s *Scheduler) weight(plan int) float64 {
-	if w := pick[float64](s.set, "plans.weight", plan) / mean(get[[]float64](s.set, "plans.weight")); w > 0 {
+	if w := at(s.set.weight, plan) / s.set.meanWeight; w > 0 {
 		return w
 	}
 	return 1
@@ -434,7 +483,7 @@
 // latency, two at a time: while hosts are few, one op of each always fits.
 func (s *Scheduler) places(o *osd, part float64) float64 {
 	shortest, _ := s.targets()
-	latency, hosts := s.latency(o), float64(max(get[int](s.set, "hosts"), 1))
+	latency, hosts := s.latency(o), float64(max(s.set.hosts, 1))
 	if latency <= 0 || shortest <= 0 {
 		return o.window
 	}
@@ -442,7 +491,7 @@
 	if places >= 1 {
 		return places
 	}
-	even := past * shortest.Seconds() / (hosts * o.best * get[float64](s.set, "units.mean"))
+	even := past * shortest.Seconds() / (hosts * o.best * s.set.unitsMean)
 	return min(1, max(places*places, even))
 }
 
@@ -453,14 +502,14 @@
 func (s *Scheduler) fillUp(v *volume) {
 	gap, hosts := (s.now - v.filled).Seconds(), float64(v.hosts)
 	v.filled = s.now
-	reserve, limit := pick[float64](s.set, "plans.reserve", v.plan), pick[float64](s.set, "plans.limit", v.plan)
+	reserve, limit := at(s.set.reserve, v.plan), at(s.set.limit, v.plan)
 	part := reserve / hosts
 	if v.total > 0 {
-		v.served.add(s.now, 0, 2*get[time.Duration](s.set, "meter.period"))
+		v.served.add(s.now, 0, 2*s.set.meterPeriod)
 		part = max(part, reserve*min(1, v.served.rate()/v.total))
 	}
-	v.reserve = min(v.reserve+gap*part, reserve+get[float64](s.set, "units.largest"))
-	v.limit = min(v.limit+gap*limit/hosts, pick[float64](s.set, "plans.burst", v.plan)/hosts)
+	v.reserve = min(v.reserve+gap*part, reserve+s.set.unitsLargest)
+	v.limit = min(v.limit+gap*limit/hosts, at(s.set.burst, v.plan)/hosts)
 }
 
 // due tells whether an op is inside its volume's reserve, as far as this host's store of it lasts.
@@ -481,7 +530,7 @@
 		return false
 	}
 	due := s.due(p) // brings the stores up to now
-	limited := pick[float64](s.set, "plans.limit", p.volume.plan) > 0
+	limited := at(s.set.limit, p.volume.plan) > 0
 	if limited && len(p.sends) == 0 && p.volume.limit < p.Units {
 		return false
 	}
@@ -490,14 +539,14 @@
 
 // repeats tells whether the kind of an op allows another dispatch at this disk server.
 func (s *Scheduler) repeats(p *op, o *osd) bool {
-	kind := pick[honeyplank.Kind](s.set, "optypes.kind", p.Type)
-	scope := pick[honeyplank.Scope](s.set, "optypes.scope", p.Type)
+	kind := at(s.set.kind, p.Type)
+	scope := at(s.set.scope, p.Type)
 	for _, d := range p.sends {
 		far := scope == honeyplank.ScopeZone && d.osd.Zone != o.Zone ||
 			scope == honeyplank.ScopeCell && d.osd.Cell != o.Cell
-		late := s.now >= d.at+pick[time.Duration](s.set, "optypes.remember", p.Type)
+		late := s.now >= d.at+at(s.set.remember, p.Type)
 		switch {
-		case !d.done && !get[bool](s.set, "dispatches.parallel"):
+		case !d.done && !s.set.parallel:
 			return false
 		case d.done && !d.maybe:
 		case kind == honeyplank.OnceOnly || kind == honeyplank.Deduplicated && (far || late):
@@ -509,20 +558,19 @@
 
 // harmless tells whether a throttling answer may be given: trying again must do no harm.
 func (s *Scheduler) harmless(p *op) bool {
-	kind := pick[honeyplank.Kind](s.set, "optypes.kind", p.Type)
-	anywhere := pick[honeyplank.Scope](s.set, "optypes.scope", p.Type) == honeyplank.ScopeAll
+	kind := at(s.set.kind, p.Type)
+	anywhere := at(s.set.scope, p.Type) == honeyplank.ScopeAll
 	return kind == honeyplank.Replayable || kind == honeyplank.Deduplicated && anywhere || p.neverRan()
 }
 
 // budget tells whether one more further dispatch fits into the sliding window.
 func (s *Scheduler) budget() bool {
-	free, stated := s.set["budget.free"].(float64)
-	if !stated {
+	if !s.set.budgeted {
 		return true
 	}
-	from := s.now - get[time.Duration](s.set, "budget.window")
+	from := s.now - s.set.budgetWindow
 	s.taken, s.extras = recent(s.taken, from), recent(s.extras, from)
-	return float64(len(s.extras)+1) <= free+get[float64](s.set, "budget.share")*float64(len(s.taken))
+	return float64(len(s.extras)+1) <= s.set.budgetFree+s.set.budgetShare*float64(len(s.taken))
 }
 
 // turnOf tells whether an op of an ordered type has its key's turn.
@@ -536,17 +584,17 @@
 // leave a part below a mean op, lots keep the mean of what this host sends within it, reserves first. It
 // guards against pushing the server over; were most of a fleet's ops for one, chance would not hold.
 func (s *Scheduler) coldRoom(o *osd, units, lot float64, due bool) bool {
-	window, warm := get[time.Duration](s.set, "cold.window"), get[time.Duration](s.set, "cold.time")
+	window, warm := s.set.coldWindow, s.set.coldTime
 	o.trim(s.now - window)
 	if o.Started <= 0 || window <= 0 || s.now >= o.Started+warm+window {
 		return true
 	}
-	from, grown := get[float64](s.set, "cold.from"), 1.0
+	from, grown := s.set.coldFrom, 1.0
 	if age := s.now - o.Started; from > 0 && from < 1 && age > 0 && warm > 0 {
 		grown = (from + (1-from)*min(1, float64(age)/float64(warm))) / from
 	}
-	part, used := grown*get[float64](s.set, "cold.units")/float64(max(get[int](s.set, "hosts"), 1)), o.logged()
-	if used+units <= part || part >= get[float64](s.set, "units.mean") || used > 0 {
+	part, used := grown*s.set.coldUnits/float64(max(s.set.hosts, 1)), o.logged()
+	if used+units <= part || part >= s.set.unitsMean || used > 0 {
 		return used+units <= part
 	}
 	each := window.Seconds() / float64(max(s.running, 1))
@@ -605,7 +653,7 @@
 		way.effect(s, o, p, e)
 	}
 	if k := p.key; k != nil && way.runs {
-		k.rest, k.restBy = s.now+get[time.Duration](s.set, "order.settle"), p.ID
+		k.rest, k.restBy = s.now+s.set.orderSettle, p.ID
 	}
 	if p.over || e.Done {
 		s.forget(p)
@@ -622,9 +670,9 @@
 // follows: it guards against retries on a server that answers little, whatever ails it, and could harm where
 // a healthy server's first answers are still due.
 func (s *Scheduler) again(p *op, o *osd) {
-	if len(p.sends) < get[int](s.set, "dispatches.max") && s.repeats(p, o) && s.now < p.target {
+	if len(p.sends) < s.set.dispatches && s.repeats(p, o) && s.now < p.target {
 		p.early, p.osd = true, nil
-		s.held = append(s.held, p)
+		s.hold(p)
 		if s.house(p); !s.useless(p) {
 			return
 		}
@@ -645,9 +693,9 @@
 
 // answer gives an op up at once.
 func (s *Scheduler) answer(p *op) {
-	advice := min(pick[time.Duration](s.set, "optypes.target_latency", p.Type),
-		get[time.Duration](s.set, "throttle.advice.max"))
-	if !get[bool](s.set, "throttle.advice") {
+	advice := min(at(s.set.target, p.Type),
+		s.set.adviceMost)
+	if !s.set.advice {
 		advice = 0
 	}
 	if s.harmless(p) {
@@ -680,16 +728,22 @@
 	q := o.queueOf(p.volume)
 	q.await.gap(s.now, avgA, avgB)
 	q.lastSeen = s.now
-	p.volume.served.add(s.now, p.Units, 2*get[time.Duration](s.set, "meter.period"))
+	p.volume.served.add(s.now, p.Units, 2*s.set.meterPeriod)
 	if e.Used > 0 {
-		p.volume.total = float64(e.Used-1) / 100 * pick[float64](s.set, "plans.rate", p.Plan)
+		p.volume.total = float64(e.Used-1) / 100 * at(s.set.rate, p.Plan)
 	}
 }
 
 // latency is how long a node's answers take, as far as this host can tell by now: what it saw there gives way
 // to what it sees everywhere, since with many hosts answers of one node are rare. It guards against beliefs
 // that outlive what they tell of; where one node alone stays slow, it is tried again too soon.
-func (s *Scheduler) latency(o *osd) float64 { return s.usual + (o.latency-s.usual)*s.fresh(o) }
+func (s *Scheduler) latency(o *osd) float64 {
+	k := &o.known
+	if k.now != s.now || k.told != o.told || k.usual != s.usual || k.latency != o.latency {
+		*k = belief{s.now, o.told, s.usual, o.latency, s.usual + (o.latency-s.usual)*s.fresh(o)}
+	}
+	return k.value
+}
 
 // fresh is what is left of the weight of a node's last answer.
 func (s *Scheduler) fresh(o *osd) float64 {
@@ -742,13 +796,15 @@
 		}
 	}
 	s.move(s.order)
-	for _, p := range append([]*op(nil), s.held...) {
+	for p := s.first; p != nil; {
+		next := p.after
 		if s.useless(p) {
 			s.answer(p)
 		}
+		p = next
 	}
-	late := s.now-s.asked > get[time.Duration](s.set, "list.ask_within")/2
-	if late && !s.watched && get[bool](s.set, "list.ask") {
+	late := s.now-s.asked > s.set.askWithin/2
+	if late && !s.watched && s.set.ask {
 		s.ask()
 	}
 	s.tidy(idle)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"honeyplank"
+	"honeyplank/policy/earlier"
 )
 
 func member(i int, started time.Duration) honeyplank.Member {
@@ -51,6 +52,9 @@
 	f.Fuzz(func(t *testing.T, seed int64) {
 		r := rand.New(rand.NewSource(seed))
 		w := newWorld(t, seed, generate(r))
+		for i := range w.hosts {
+			w.olds = append(w.olds, earlier.New(seed+int64(i), w.set))
+		}
 		codes := []honeyplank.Code{1, 1, 1, 1, 2, 3, 4, 5, 6, 7, 8}
 		w.now = time.Second
 		w.list(honeyplank.Remembered, member(0, 0), member(1, 0), member(2, 0), member(3, 0))
@@ -163,6 +167,7 @@
 		t.Error("the slice did not end")
 	}
 	w.set["plans.weight"] = []float64{1, 3}
+	s.set = read(w.set)
 	s.serve(o, &queue{volume: &volume{plan: 0}})
 	light := o.until - s.now
 	s.serve(o, &queue{volume: &volume{plan: 1}})
@@ -264,6 +269,7 @@
 func TestWatchIsRenewed(t *testing.T) {
 	w := newWorld(t, 1, figures())
 	w.set["list.ask"], w.set["list.ask_within"] = true, time.Second
+	w.hosts[0].set = read(w.set)
 	asks, last, due := 0, time.Duration(0), time.Duration(0)
 	for ; w.now < 10*time.Second; w.now += 10 * ms {
 		e := honeyplank.Timer{Name: []string{"sweep", "watch"}[count(w.now >= due)]}
@@ -283,9 +289,10 @@
 // A restarted node gets the mean part of what it always bears, not nothing (kingston-main-later, rough-2), also
 // where a hundred hosts' parts are smaller than one op; those inside their reserves come first.
 func TestColdPartByLot(t *testing.T) {
-	s := New(1, figures())
-	s.set["cold.from"], s.set["cold.units"], s.set["cold.time"], s.set["cold.window"] = 0.2, 20.0, time.Minute, time.Second
-	s.set["hosts"], s.set["units.mean"] = 100, 2.0
+	set := figures()
+	set["cold.from"], set["cold.units"], set["cold.time"], set["cold.window"] = 0.2, 20.0, time.Minute, time.Second
+	set["hosts"], set["units.mean"] = 100, 2.0
+	s := New(1, set)
 	s.now, s.running = time.Minute, 20
 	s.demand = [2]flow{{units: 10, time: 1}, {units: 30, time: 1}} // units a second for 20 nodes
 	o, sent := &osd{Member: member(0, s.now)}, [2]float64{}
@@ -308,6 +315,7 @@
 		w := crowd(t)
 		w.set["hosts"], w.set["units.mean"] = hosts, 2.0
 		s := w.hosts[0]
+		s.set = read(w.set)
 		o := s.osds["osd0"]
 		o.out, o.best, o.latency, o.told, s.usual = 0, 0.02, 0.2, s.now, 0.2
 		p := &op{Op: honeyplank.Op{Timeout: time.Second}, volume: &volume{hosts: 1}, lot: 0.5}
@@ -354,8 +362,9 @@
 // A host's part of a reserve follows what the volume is served through it.
 func TestPartOfReserve(t *testing.T) {
 	for total, want := range map[float64]bool{0: false, 10: true} {
-		s := New(1, figures())
-		s.set["meter.period"] = time.Second
+		set := figures()
+		set["meter.period"] = time.Second
+		s := New(1, set)
 		v := &volume{hosts: 10, reserve: -1.5, total: total}
 		for range 10 {
 			s.now += 100 * ms
--- a/policy/state.go
+++ b/policy/state.go
@@ -42,6 +42,13 @@
 	waits   time.Duration // end of the wait for its next op
 	round   int
 	lastKey int64 // key of the last op sent, to keep runs together
+	known   belief
+}
+
+// belief is the latency last worked out, and what it was worked out from.
+type belief struct {
+	now, told             time.Duration
+	usual, latency, value float64
 }
 
 type sent struct {
@@ -52,11 +59,14 @@
 // queue is a volume at a node.
 type queue struct {
 	volume   *volume
-	await    average // completion gaps
-	thinkt   average // arrival gaps
-	demand   flow    // units taken
-	held     []*op
-	round    int // the round in which it was last served
+	await    average       // completion gaps
+	thinkt   average       // arrival gaps
+	demand   flow          // units taken
+	held     []*op         // by rank: early ones first, then by target, then as they came
+	keys     map[int64]int // how many of held have a key
+	least    float64       // no op of held is smaller
+	again    int           // how many of held have been sent before
+	round    int           // the round in which it was last served
 	lastSeen time.Duration
 }
 
@@ -86,6 +96,9 @@
 	osd    *osd   // where it is held or was last sent
 	queue  *queue // where it is held; nil while it is out
 	key    *key
+	seq    int // place in the order held
+	before *op // neighbours in the list of held ops
+	after  *op
 	early  bool // it comes before others of its volume: a further dispatch
 }
 
@@ -188,6 +201,92 @@
 	return v
 }
 
+// terms are the settings by their names, looked up once, with what follows from them alone.
+type terms struct {
+	step                 time.Duration
+	ask                  bool
+	askWithin            time.Duration
+	target               []time.Duration
+	kind                 []honeyplank.Kind
+	scope                []honeyplank.Scope
+	remember             []time.Duration
+	ordered              []bool
+	rate                 []float64
+	weight               []float64
+	reserve              []float64
+	limit                []float64
+	burst                []float64
+	hosts                int
+	unitsMean            float64
+	unitsLargest         float64
+	meterPeriod          time.Duration
+	parallel             bool
+	dispatches           int
+	budgetWindow         time.Duration
+	budgetShare          float64
+	coldWindow           time.Duration
+	coldTime             time.Duration
+	coldFrom             float64
+	coldUnits            float64
+	orderSettle          time.Duration
+	advice               bool
+	adviceMost           time.Duration
+	budgeted             bool
+	budgetFree           float64
+	meanRate, meanWeight float64
+	shortest, longest    time.Duration // of the target latencies
+}
+
+func read(settings map[string]any) *terms {
+	t := &terms{
+		step:         get[time.Duration](settings, "step"),
+		ask:          get[bool](settings, "list.ask"),
+		askWithin:    get[time.Duration](settings, "list.ask_within"),
+		target:       get[[]time.Duration](settings, "optypes.target_latency"),
+		kind:         get[[]honeyplank.Kind](settings, "optypes.kind"),
+		scope:        get[[]honeyplank.Scope](settings, "optypes.scope"),
+		remember:     get[[]time.Duration](settings, "optypes.remember"),
+		ordered:      get[[]bool](settings, "optypes.ordered"),
+		rate:         get[[]float64](settings, "plans.rate"),
+		weight:       get[[]float64](settings, "plans.weight"),
+		reserve:      get[[]float64](settings, "plans.reserve"),
+		limit:        get[[]float64](settings, "plans.limit"),
+		burst:        get[[]float64](settings, "plans.burst"),
+		hosts:        get[int](settings, "hosts"),
+		unitsMean:    get[float64](settings, "units.mean"),
+		unitsLargest: get[float64](settings, "units.largest"),
+		meterPeriod:  get[time.Duration](settings, "meter.period"),
+		parallel:     get[bool](settings, "dispatches.parallel"),
+		dispatches:   get[int](settings, "dispatches.max"),
+		budgetWindow: get[time.Duration](settings, "budget.window"),
+		budgetShare:  get[float64](settings, "budget.share"),
+		coldWindow:   get[time.Duration](settings, "cold.window"),
+		coldTime:     get[time.Duration](settings, "cold.time"),
+		coldFrom:     get[float64](settings, "cold.from"),
+		coldUnits:    get[float64](settings, "cold.units"),
+		orderSettle:  get[time.Duration](settings, "order.settle"),
+		advice:       get[bool](settings, "throttle.advice"),
+		adviceMost:   get[time.Duration](settings, "throttle.advice.max"),
+	}
+	t.budgetFree, t.budgeted = settings["budget.free"].(float64)
+	t.meanRate, t.meanWeight = mean(t.rate), mean(t.weight)
+	for i, x := range t.target {
+		if i == 0 || x < t.shortest {
+			t.shortest = x
+		}
+		t.longest = max(t.longest, x)
+	}
+	return t
+}
+
+// at is a list's i-th value, or the type's zero value.
+func at[T any](list []T, i int) (v T) {
+	if i >= 0 && i < len(list) {
+		v = list[i]
+	}
+	return v
+}
+
 // rank is the rendezvous hash of a volume and a disk server.
 func rank(volume int64, id honeyplank.OSDID) uint64 {
 	h := fnv.New64a()
@@ -215,7 +314,7 @@
 			return q
 		}
 	}
-	q := &queue{volume: v, round: -1}
+	q := &queue{volume: v, round: -1, keys: map[int64]int{}}
 	o.queues = append(o.queues, q)
 	return q
 }
@@ -223,18 +322,70 @@
 // keep holds an op in its volume's queue at a node; leave takes it out again.
 func (o *osd) keep(p *op) {
 	p.osd, p.queue = o, o.queueOf(p.volume)
-	p.queue.held = append(p.queue.held, p)
+	p.queue.insert(p)
 	o.holding++
 }
 
 func (p *op) leave() {
 	if p.queue != nil {
-		p.queue.held = without(p.queue.held, p)
+		p.queue.remove(p)
 		p.osd.holding--
 		p.queue = nil
 	}
 }
 
+func (q *queue) insert(p *op) {
+	if len(q.held) == 0 || p.Units < q.least {
+		q.least = p.Units
+	}
+	i := sort.Search(len(q.held), func(i int) bool { return sooner(p, q.held[i]) })
+	q.held = slices.Insert(q.held, i, p)
+	if q.again += count(len(p.sends) > 0); p.Keyed {
+		q.keys[p.Key]++
+	}
+}
+
+func (q *queue) remove(p *op) {
+	i := sort.Search(len(q.held), func(i int) bool { return !sooner(q.held[i], p) })
+	q.held = slices.Delete(q.held, i, i+1)
+	if q.again -= count(len(p.sends) > 0); p.Keyed {
+		if q.keys[p.Key]--; q.keys[p.Key] == 0 {
+			delete(q.keys, p.Key)
+		}
+	}
+}
+
+// hold puts an op at the end of the held ones; release takes it out. Ops that lie nowhere are counted.
+func (s *Scheduler) hold(p *op) {
+	s.serial++
+	p.seq, p.before, p.after = s.serial, s.last, nil
+	if s.last != nil {
+		s.last.after = p
+	} else {
+		s.first = p
+	}
+	s.last = p
+	s.nowhere += count(p.osd == nil)
+}
+
+func (s *Scheduler) release(p *op) {
+	if p.seq == 0 {
+		return
+	}
+	if p.before != nil {
+		p.before.after = p.after
+	} else {
+		s.first = p.after
+	}
+	if p.after != nil {
+		p.after.before = p.before
+	} else {
+		s.last = p.before
+	}
+	s.nowhere -= count(p.osd == nil)
+	p.seq, p.before, p.after = 0, nil, nil
+}
+
 func without[T comparable](list []T, x T) []T {
 	for i, y := range list {
 		if y == x {
@@ -252,7 +403,7 @@
 
 // Scheduler is one instance. It shares nothing with others.
 type Scheduler struct {
-	set     map[string]any
+	set     *terms
 	rng     *rand.Rand
 	now     time.Duration
 	born    time.Duration
@@ -265,7 +416,10 @@
 	holders map[int][]*osd // disk servers by the data they hold
 	usual   float64        // recent answer time of all nodes, in seconds
 	ops     map[honeyplank.OpID]*op
-	held    []*op // in the order taken; also those with no disk server
+	first   *op // of the held ones, in the order taken; also those with no disk server
+	last    *op
+	serial  int
+	nowhere int // held ops with no disk server
 	volumes map[int64]*volume
 	keys    map[int64]*key
 	taken   []time.Duration // ops taken, for the budget
@@ -286,16 +440,8 @@
 	s.act(honeyplank.Log{Text: fmt.Sprintf(format, arguments...)})
 }
 
-// shortest and longest are the extremes of the target latencies.
-func (s *Scheduler) targets() (shortest, longest time.Duration) {
-	for i, t := range get[[]time.Duration](s.set, "optypes.target_latency") {
-		if i == 0 || t < shortest {
-			shortest = t
-		}
-		longest = max(longest, t)
-	}
-	return shortest, longest
-}
+// targets are the extremes of the target latencies.
+func (s *Scheduler) targets() (shortest, longest time.Duration) { return s.set.shortest, s.set.longest }
 
 type health int
 
@@ -351,7 +497,7 @@
 // forget ends an op; its record stays while a dispatch has no outcome, since its key must wait for that.
 func (s *Scheduler) forget(p *op) {
 	p.leave()
-	s.held = without(s.held, p)
+	s.release(p)
 	p.over = true
 	if p.busy() {
 		return
@@ -387,24 +533,24 @@
 }
 
 // unhouse takes the held ops from a disk server that takes nothing more.
-func (o *osd) unhouse() {
+func (s *Scheduler) unhouse(o *osd) {
 	for _, q := range o.queues {
 		for _, p := range q.held {
 			p.osd, p.queue = nil, nil
 		}
-		q.held = nil
+		s.nowhere += len(q.held)
+		q.held, q.again = nil, 0
+		clear(q.keys)
 	}
 	o.served, o.turn, o.holding = nil, resting, 0
 }
 
-// ring lists the queues from the one after the served on.
-func (o *osd) ring() []*queue {
-	for i, q := range o.queues {
-		if q == o.served {
-			return append(append([]*queue(nil), o.queues[i+1:]...), o.queues[:i+1]...)
-		}
+// after is the place in the ring of the queue after the served one.
+func (o *osd) after() int {
+	if o.served == nil {
+		return 0
 	}
-	return o.queues
+	return slices.Index(o.queues, o.served) + 1
 }
 
 // meanAwait is the mean over the volumes whose await is known.
@@ -456,10 +602,10 @@
 }
 
 // stopped takes from disk servers that do not run what is held for them.
-func stopped(list []*osd) {
+func (s *Scheduler) stopped(list []*osd) {
 	for _, o := range list {
 		if !o.placed {
-			o.unhouse()
+			s.unhouse(o)
 		}
 	}
 }
@@ -500,7 +646,7 @@
 // book notes that an op goes out to a disk server.
 func (s *Scheduler) book(p *op, o *osd) {
 	p.leave()
-	s.held = without(s.held, p)
+	s.release(p)
 	p.osd, p.early = o, false
 	p.sends = append(p.sends, send{osd: o, at: s.now})
 	o.out++
@@ -528,11 +674,11 @@
 	}
 	v.hosts, v.lastSeen = p.Hosts, s.now
 	if v.hosts < 1 {
-		v.hosts = max(get[int](s.set, "hosts"), 1)
+		v.hosts = max(s.set.hosts, 1)
 	}
 	v.open++
 	p.volume = v
-	s.held = append(s.held, p)
+	s.hold(p)
 }
 
 // neverRan tells whether every dispatch of an op is known not to have run.
