A dispatch's record and the log of the cold rule reuse their room

Change: an op has room for its first dispatch; the log of what was sent is moved down instead of forward, which had it allocated anew for each op where no cold rule is set.

--- a/policy/state.go
+++ b/policy/state.go
@@ -90,6 +90,7 @@
 	target time.Duration // clock time at which its target latency is over
 	lot    float64       // its own draw from [0, 1), for shares smaller than an op
 	sends  []send
+	one    [1]send // room for the first, which is mostly the only one
 	begun  bool
 	over   bool // answered or gone, kept while a dispatch has no outcome
 	volume *volume
@@ -677,7 +678,7 @@
 		v.hosts = max(s.set.hosts, 1)
 	}
 	v.open++
-	p.volume = v
+	p.volume, p.sends = v, p.one[:0]
 	s.hold(p)
 }
 
@@ -693,8 +694,12 @@
 
 // trim drops what was sent before a time from the log, and logged adds up the rest.
 func (o *osd) trim(from time.Duration) {
-	for len(o.log) > 0 && o.log[0].at < from {
-		o.log = o.log[1:]
+	old := 0
+	for old < len(o.log) && o.log[old].at < from {
+		old++
+	}
+	if old > 0 { // moved down, so that the room is used again
+		o.log = slices.Delete(o.log, 0, old)
 	}
 }
 
