The ring walks the volumes that have held ops, not all that ever came

Change: the queues with held ops are kept in ring order by themselves; a volume's queue is found by a map.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -314,8 +314,8 @@
 // cheaper is the paper's await test; the node's mean await stands for the longest seek.
 func (s *Scheduler) cheaper(o *osd) *queue {
 	limit, own := o.meanAwait(avgC), o.served.await.value(avgC)
-	for i, from := 0, o.after(); i < len(o.queues); i++ {
-		q := o.queues[(from+i)%len(o.queues)]
+	for i, from := 0, o.after(); i < len(o.live); i++ {
+		q := o.live[(from+i)%len(o.live)]
 		a := q.await.value(avgC)
 		if q != o.served && q.round < o.round && a <= own && a < limit && s.choose(o, q) != nil {
 			return q
@@ -328,8 +328,8 @@
 func (s *Scheduler) next(o *osd) *queue {
 	var found *queue
 	least := math.MaxInt
-	for i, from := 0, o.after(); i < len(o.queues); i++ {
-		q := o.queues[(from+i)%len(o.queues)]
+	for i, from := 0, o.after(); i < len(o.live); i++ {
+		q := o.live[(from+i)%len(o.live)]
 		p := s.choose(o, q)
 		if q == o.served || p == nil {
 			continue
--- a/policy/state.go
+++ b/policy/state.go
@@ -36,6 +36,9 @@
 	log     []sent        // units sent within the window of the cold rule
 	holding int           // ops held here
 	queues  []*queue      // in ring order
+	live    []*queue      // those with held ops, in ring order
+	of      map[*volume]*queue
+	serial  int // of the queue made last
 	served  *queue
 	turn    turn
 	until   time.Duration // end of the served volume's slice
@@ -63,6 +66,7 @@
 	thinkt   average       // arrival gaps
 	demand   flow          // units taken
 	held     []*op         // by rank: early ones first, then by target, then as they came
+	serial   int           // place in the ring
 	keys     map[int64]int // how many of held have a key
 	least    float64       // no op of held is smaller
 	again    int           // how many of held have been sent before
@@ -310,26 +314,34 @@
 
 // queueOf returns the volume's queue at a node, made when it is missing.
 func (o *osd) queueOf(v *volume) *queue {
-	for _, q := range o.queues {
-		if q.volume == v {
-			return q
+	q := o.of[v]
+	if q == nil {
+		if o.of == nil {
+			o.of = map[*volume]*queue{}
 		}
+		o.serial++
+		q = &queue{volume: v, round: -1, serial: o.serial, keys: map[int64]int{}}
+		o.of[v], o.queues = q, append(o.queues, q)
 	}
-	q := &queue{volume: v, round: -1, keys: map[int64]int{}}
-	o.queues = append(o.queues, q)
 	return q
 }
 
 // keep holds an op in its volume's queue at a node; leave takes it out again.
 func (o *osd) keep(p *op) {
 	p.osd, p.queue = o, o.queueOf(p.volume)
+	if len(p.queue.held) == 0 {
+		o.live = slices.Insert(o.live, o.place(p.queue.serial), p.queue)
+	}
 	p.queue.insert(p)
 	o.holding++
 }
 
 func (p *op) leave() {
 	if p.queue != nil {
-		p.queue.remove(p)
+		if p.queue.remove(p); len(p.queue.held) == 0 {
+			i := p.osd.place(p.queue.serial - 1)
+			p.osd.live = slices.Delete(p.osd.live, i, i+1)
+		}
 		p.osd.holding--
 		p.queue = nil
 	}
@@ -517,6 +529,8 @@
 		for _, q := range o.queues {
 			if len(q.held) > 0 || q == o.served || s.now-q.lastSeen < idle {
 				kept = append(kept, q)
+			} else {
+				delete(o.of, q.volume)
 			}
 		}
 		o.queues = kept
@@ -543,15 +557,20 @@
 		q.held, q.again = nil, 0
 		clear(q.keys)
 	}
-	o.served, o.turn, o.holding = nil, resting, 0
+	o.served, o.turn, o.holding, o.live = nil, resting, 0, nil
+}
+
+// place is where in live the queues made later than one begin.
+func (o *osd) place(serial int) int {
+	return sort.Search(len(o.live), func(i int) bool { return o.live[i].serial > serial })
 }
 
-// after is the place in the ring of the queue after the served one.
+// after is where in live the ring goes on after the served queue.
 func (o *osd) after() int {
 	if o.served == nil {
 		return 0
 	}
-	return slices.Index(o.queues, o.served) + 1
+	return o.place(o.served.serial)
 }
 
 // meanAwait is the mean over the volumes whose await is known.
@@ -566,14 +585,7 @@
 }
 
 // busy counts the volumes with held ops.
-func (o *osd) busy() (n int) {
-	for _, q := range o.queues {
-		if len(q.held) > 0 {
-			n++
-		}
-	}
-	return n
-}
+func (o *osd) busy() int { return len(o.live) }
 
 // add takes up the record of a disk server.
 func (s *Scheduler) add(o *osd) *osd {
