The drawn share of a pause stands in the module; a watch out of order keeps nothing

A response out of order left what was held of pieces until the next watch.

Change: names holds the share as a constant of its own; the watch drops what it held at once.

Measured: tests of names, members, gateway and corpus pass; no decision has changed.

--- a/members/dns.go
+++ b/members/dns.go
@@ -44,7 +44,7 @@
 	t.Name = dns.Fqdn(t.Name)
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &DNS{t: t, tell: tell, cancel: cancel}
-	d.asker = names.New(names.Terms{Servers: len(t.Servers), Floor: t.Floor, Ceiling: t.Ceiling, Spread: spread, Seed: t.Seed})
+	d.asker = names.New(names.Terms{Servers: len(t.Servers), Floor: t.Floor, Ceiling: t.Ceiling, Seed: t.Seed})
 	d.ask = func(server, name string, kind uint16) (*dns.Msg, error) { return d.exchange(ctx, server, name, kind) }
 	d.running.Add(1)
 	go func() {
@@ -60,9 +60,6 @@
 	d.running.Wait()
 }
 
-// spread is the share of a pause that is drawn: from three quarters of a lifetime to all of it.
-const spread = 0.25
-
 // run asks as package names says, and tells the outcome of each round.
 func (d *DNS) run(ctx context.Context) {
 	start := time.Now()
--- a/members/watch.go
+++ b/members/watch.go
@@ -101,6 +101,7 @@
 	s, ok := steps[l.state][l.sort(r)]
 	if !ok {
 		l.state = stopped
+		l.drop()
 		return l.anew(r)
 	}
 	l.state = s.next
--- a/names/names.go
+++ b/names/names.go
@@ -12,10 +12,13 @@
 	Servers int           // name servers, asked in turn
 	Floor   time.Duration // the least pause, whatever a record's lifetime
 	Ceiling time.Duration // the longest
-	Spread  float64       // share of a pause that is drawn, so that many schedulers do not ask at once
 	Seed    int64
 }
 
+// spread is the share of a pause that is drawn, so that many schedulers do not ask at once: from three quarters of a
+// lifetime to all of it.
+const spread = 1.0 / 4
+
 // Ask is the next question: which server, and when, as a span since start.
 type Ask struct {
 	Server int
@@ -110,7 +113,7 @@
 
 func (a *Asker) draw(span time.Duration) time.Duration {
 	span = min(max(span, a.t.Floor), a.t.Ceiling)
-	return span - time.Duration(a.rng.Float64()*a.t.Spread*float64(span))
+	return span - time.Duration(a.rng.Float64()*spread*float64(span))
 }
 
 // Record is an SRV record as far as its choice goes.
--- a/names/names_test.go
+++ b/names/names_test.go
@@ -25,7 +25,7 @@
 	f.Add(byte(2), []byte{1, 200, 0, 0, 0, 0, 0, 0, 1, 5})
 	f.Add(byte(3), []byte{0, 0, 0, 0, 1, 255, 1, 0, 0, 1, 0, 2, 0, 3, 0, 0, 0, 0, 0, 0})
 	f.Fuzz(func(t *testing.T, servers byte, script []byte) {
-		terms := Terms{Servers: 1 + int(servers%4), Floor: 100 * time.Millisecond, Ceiling: 5 * time.Second, Spread: 0.25, Seed: int64(servers)}
+		terms := Terms{Servers: 1 + int(servers%4), Floor: 100 * time.Millisecond, Ceiling: 5 * time.Second, Seed: int64(servers)}
 		a := New(terms)
 		type outcome struct {
 			server   int
