A volume met late has its part of the limit filled since the host was born

A volume's record was made with an empty store of its limit at its first op, so that the first surge of every volume met an empty store. Before that op nothing was sent since the host's start, or for as long as idle records are kept, so the store has filled since then and no rule is touched.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -497,6 +497,10 @@
 
 // ---- What is due to a volume ----
 
+// unsent is since when nothing has left for a volume that has no record: since this host was born, or for as
+// long as idle ones are kept.
+func (s *Scheduler) unsent() time.Duration { return max(s.born, s.now-idle) }
+
 // fillUp brings the volume's stores up to now. Of the limit this host counts an even part; of the reserve its
 // part of what the volume is served, at least an even one.
 func (s *Scheduler) fillUp(v *volume) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -371,3 +371,23 @@
 		}
 	}
 }
+
+// A host that has been up for long has its part of a limit ready for a volume that it meets for the first time or once
+// more; one that has just started has none, since what it sent before is unknown.
+func TestLimitOfVolumesMetLate(t *testing.T) {
+	for up, want := range map[time.Duration]int{0: 0, 2 * time.Second: 4, time.Minute: 6} {
+		set := figures()
+		set["plans.limit"], set["plans.burst"] = []float64{2}, []float64{6}
+		w := newWorld(t, 1, set)
+		w.list(honeyplank.Remembered, member(0, 0), member(1, 0))
+		w.now += up
+		sent := 0
+		for i := range 10 {
+			w.give(0, honeyplank.Op{ID: honeyplank.OpID(fmt.Sprint(i)), Units: 1, Timeout: w.now + time.Second, Hosts: 1, Cell: i % 2})
+			sent += len(w.order[i].sends)
+		}
+		if sent != want {
+			t.Errorf("up for %v: %d ops of one unit leave at once, want %d", up, sent, want)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -682,7 +682,7 @@
 func (s *Scheduler) open(p *op) {
 	v := s.volumes[p.Volume]
 	if v == nil {
-		v = &volume{plan: p.Plan, filled: s.now, reserve: math.Inf(1)}
+		v = &volume{plan: p.Plan, filled: s.unsent(), reserve: math.Inf(1)}
 		s.volumes[p.Volume] = v
 	}
 	v.hosts, v.lastSeen = p.Hosts, s.now
