--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,6 +25,7 @@
 	creditMost       = 2 * floor         // further dispatches; each answer earns one
 	failingTooMuch   = 0.2               // share of errors at which new objects go elsewhere
 	bestForgets      = 1.0 / 256
+	keptOfLimit      = 0.5 // of a limit's store, kept from an op type of no utility
 )
 
 // New makes an instance that knows nothing yet.
@@ -535,12 +536,22 @@
 	}
 	due := s.due(p) // brings the stores up to now
 	limited := at(s.set.limit, p.volume.plan) > 0
-	if limited && len(p.sends) == 0 && p.volume.limit < p.Units {
+	if limited && len(p.sends) == 0 && p.volume.limit < p.Units+s.keeps(p) {
 		return false
 	}
 	return s.turnOf(p) && s.coldRoom(o, p.Units, p.lot, due)
 }
 
+// keeps is what an op leaves of the limit's store for op types of more utility. It guards against surges of cheap
+// large ops that use up a limit which dearer ones then lack; it could harm where the dearer never come.
+func (s *Scheduler) keeps(p *op) float64 {
+	cheap := 1 - at(s.set.utility, p.Type)/max(s.set.dearest, 1e-9)
+	if s.set.dearest <= 0 { // no utilities are told
+		cheap = 0
+	}
+	return keptOfLimit * cheap * at(s.set.burst, p.Plan) / float64(p.volume.hosts)
+}
+
 // repeats tells whether the kind of an op allows another dispatch at this disk server.
 func (s *Scheduler) repeats(p *op, o *osd) bool {
 	kind := at(s.set.kind, p.Type)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -391,3 +391,22 @@
 		}
 	}
 }
+
+// Ops of less utility leave a part of a limit's store to those of more.
+func TestLimitIsKeptForDearerOps(t *testing.T) {
+	set := figures()
+	set["plans.limit"], set["plans.burst"], set["plans.reserve"] = []float64{1}, []float64{12}, []float64{20}
+	for typ, want := range []int{12, 9} { // utilities 2 and 1: half of half is left by the second
+		w := newWorld(t, 1, set)
+		w.list(honeyplank.Remembered, member(0, 0), member(1, 0), member(2, 0), member(3, 0))
+		w.now = 10 * time.Hour
+		sent := 0
+		for i := range 16 {
+			w.give(0, honeyplank.Op{ID: honeyplank.OpID(fmt.Sprint(i)), Units: 1, Type: typ, Timeout: w.now + time.Second, Hosts: 1, Cell: i % 4})
+			sent += len(w.order[i].sends)
+		}
+		if sent != want {
+			t.Errorf("op type %d: %d units leave, want %d", typ, sent, want)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -212,6 +212,7 @@
 	ask                  bool
 	askWithin            time.Duration
 	target               []time.Duration
+	utility              []float64
 	kind                 []honeyplank.Kind
 	scope                []honeyplank.Scope
 	remember             []time.Duration
@@ -240,6 +241,7 @@
 	budgetFree           float64
 	meanRate, meanWeight float64
 	shortest, longest    time.Duration // of the target latencies
+	dearest              float64       // of the utilities
 }
 
 func read(settings map[string]any) *terms {
@@ -248,6 +250,7 @@
 		ask:          get[bool](settings, "list.ask"),
 		askWithin:    get[time.Duration](settings, "list.ask_within"),
 		target:       get[[]time.Duration](settings, "optypes.target_latency"),
+		utility:      get[[]float64](settings, "optypes.utility"),
 		kind:         get[[]honeyplank.Kind](settings, "optypes.kind"),
 		scope:        get[[]honeyplank.Scope](settings, "optypes.scope"),
 		remember:     get[[]time.Duration](settings, "optypes.remember"),
@@ -275,6 +278,9 @@
 	}
 	t.budgetFree, t.budgeted = settings["budget.free"].(float64)
 	t.meanRate, t.meanWeight = mean(t.rate), mean(t.weight)
+	for _, x := range t.utility {
+		t.dearest = max(t.dearest, x)
+	}
 	for i, x := range t.target {
 		if i == 0 || x < t.shortest {
 			t.shortest = x
