Without a meter, a host's part of a reserve follows what nodes served others

What stands in: each answer's units that the node served the volume through others; the part is own over own and others' of the last two longest target latencies, at least an even one.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -503,20 +503,34 @@
 func (s *Scheduler) unsent() time.Duration { return max(s.born, s.now-idle) }
 
 // fillUp brings the volume's stores up to now. Of the limit this host counts an even part; of the reserve its
-// part of what the volume is served, at least an even one.
+// part of what the volume is served, at least an even one: by the late total, or where there is no meter by what
+// nodes say they served it through others.
 func (s *Scheduler) fillUp(v *volume) {
 	gap, hosts := (s.now - v.filled).Seconds(), float64(v.hosts)
 	v.filled = s.now
 	reserve, limit := at(s.set.reserve, v.plan), at(s.set.limit, v.plan)
 	part := reserve / hosts
 	if v.total > 0 {
-		v.served.add(s.now, 0, 2*s.set.meterPeriod)
+		v.served.add(s.now, 0, s.memory())
 		part = max(part, reserve*min(1, v.served.rate()/v.total))
+	} else if s.set.elsewhere && s.set.meterPeriod == 0 && v.served.units > 0 {
+		v.served.add(s.now, 0, s.memory())
+		v.others.add(s.now, 0, s.memory())
+		part = max(part, reserve*v.served.units/(v.served.units+v.others.units))
 	}
 	v.reserve = min(v.reserve+gap*part, reserve+s.set.unitsLargest)
 	v.limit = min(v.limit+gap*limit/hosts, at(s.set.burst, v.plan)/hosts)
 }
 
+// memory is how far back a host looks at what a volume is served.
+func (s *Scheduler) memory() time.Duration {
+	if s.set.meterPeriod > 0 {
+		return 2 * s.set.meterPeriod
+	}
+	_, longest := s.targets()
+	return 2 * longest
+}
+
 // due tells whether an op is inside its volume's reserve, as far as this host's store of it lasts.
 func (s *Scheduler) due(p *op) bool {
 	s.fillUp(p.volume)
@@ -542,8 +556,8 @@
 	return s.turnOf(p) && s.coldRoom(o, p.Units, p.lot, due)
 }
 
-// keeps is what an op leaves of the limit's store for op types of more utility. It guards against surges of cheap
-// large ops that use up a limit which dearer ones then lack; it could harm where the dearer never come.
+// keeps is what an op leaves of the limit's store for op types of more utility. It guards against surges of
+// cheap large ops that use up a limit which dearer ones then lack; it could harm where the dearer never come.
 func (s *Scheduler) keeps(p *op) float64 {
 	cheap := 1 - at(s.set.utility, p.Type)/max(s.set.dearest, 1e-9)
 	if s.set.dearest <= 0 { // no utilities are told
@@ -743,7 +757,8 @@
 	q := o.queueOf(p.volume)
 	q.await.gap(s.now, avgA, avgB)
 	q.lastSeen = s.now
-	p.volume.served.add(s.now, p.Units, 2*s.set.meterPeriod)
+	p.volume.served.add(s.now, p.Units, s.memory())
+	p.volume.others.add(s.now, e.Elsewhere, s.memory())
 	if e.Used > 0 {
 		p.volume.total = float64(e.Used-1) / 100 * at(s.set.rate, p.Plan)
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -357,17 +357,25 @@
 
 // A host's part of a reserve follows what the volume is served through it.
 func TestPartOfReserve(t *testing.T) {
-	for total, want := range map[float64]bool{0: false, 10: true} {
+	for _, c := range []struct {
+		total, others float64
+		elsewhere     bool
+		want          bool
+	}{{0, 0, false, false}, {10, 0, false, true}, {0, 0, true, true}, {0, 9, true, false}} {
 		set := figures()
-		set["meter.period"] = time.Second
+		set["meter.elsewhere"] = c.elsewhere
+		if c.total > 0 {
+			set["meter.period"] = time.Second
+		}
 		s := New(1, set)
-		v := &volume{hosts: 10, reserve: -1.5, total: total}
+		v := &volume{hosts: 10, reserve: -1.5, total: c.total}
 		for range 10 {
 			s.now += 100 * ms
 			v.served.add(s.now, 1, 2*time.Second)
+			v.others.add(s.now, c.others, 2*time.Second)
 		}
-		if got := s.due(&op{volume: v, target: time.Hour}); got != want {
-			t.Errorf("all of %v units a second through this host, debt paid: %v", total, got)
+		if got := s.due(&op{volume: v, target: time.Hour}); got != c.want {
+			t.Errorf("%+v: debt paid: %v", c, got)
 		}
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -82,6 +82,7 @@
 	limit    float64 // units of this host's part of the limit left
 	filled   time.Duration
 	served   flow    // units this host was served
+	others   flow    // units others were served, as answers tell
 	total    float64 // units a second served everywhere, by the late meter
 	ranked   []*osd
 	open     int // ops taken and not over
@@ -226,6 +227,7 @@
 	unitsMean            float64
 	unitsLargest         float64
 	meterPeriod          time.Duration
+	elsewhere            bool
 	parallel             bool
 	dispatches           int
 	budgetWindow         time.Duration
@@ -264,6 +266,7 @@
 		unitsMean:    get[float64](settings, "units.mean"),
 		unitsLargest: get[float64](settings, "units.largest"),
 		meterPeriod:  get[time.Duration](settings, "meter.period"),
+		elsewhere:    get[bool](settings, "meter.elsewhere"),
 		parallel:     get[bool](settings, "dispatches.parallel"),
 		dispatches:   get[int](settings, "dispatches.max"),
 		budgetWindow: get[time.Duration](settings, "budget.window"),
