A host may send a cold server two mean ops a window by lot, not one

Sent were 6 units a node and second at 7 to 13 s of age, where 20 to 32 are sure: few hosts use a node, so one op a host and window leaves the lots unused. Ruled out: the lot itself, which lets through its mean.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,6 +25,7 @@
 	creditMost       = 2 * floor         // further dispatches; each answer earns one
 	failingTooMuch   = 0.2               // share of errors at which new objects go elsewhere
 	bestForgets      = 1.0 / 256
+	coldMost         = 1.5 // mean ops by lot to a cold server within a window
 	keptOfLimit      = 0.5 // of a limit's store, kept from an op type of no utility
 )
 
@@ -503,7 +504,7 @@
 func (s *Scheduler) unsent() time.Duration { return max(s.born, s.now-idle) }
 
 // fillUp brings the volume's stores up to now. Of the limit this host counts an even part; of the reserve its
-// part of what the volume is served, at least an even one: by the late total, or where there is no meter by what
+// part of what the volume is served, at least an even one: by the late total, or without a meter by what
 // nodes say they served it through others.
 func (s *Scheduler) fillUp(v *volume) {
 	gap, hosts := (s.now - v.filled).Seconds(), float64(v.hosts)
@@ -610,8 +611,8 @@
 
 // coldRoom keeps a disk server that has just started below this host's part of what it always bears. The
 // part grows no faster than the slowest warm-up. Every dispatch of the last window counts. Where many hosts
-// leave a part below a mean op, lots keep the mean of what this host sends within it, reserves first. It
-// guards against pushing the server over; were most of a fleet's ops for one, chance would not hold.
+// leave a part below a mean op, lots keep the mean of what this host sends within it, reserves first, one or
+// two ops a window. It guards against pushing the server over; were most ops for one, chance would not hold.
 func (s *Scheduler) coldRoom(o *osd, units, lot float64, due bool) bool {
 	window, warm := s.set.coldWindow, s.set.coldTime
 	o.trim(s.now - window)
@@ -623,7 +624,7 @@
 		grown = (from + (1-from)*min(1, float64(age)/float64(warm))) / from
 	}
 	part, used := grown*s.set.coldUnits/float64(max(s.set.hosts, 1)), o.logged()
-	if used+units <= part || part >= s.set.unitsMean || used > 0 {
+	if used+units <= part || part >= s.set.unitsMean || used > coldMost*s.set.unitsMean {
 		return used+units <= part
 	}
 	each := window.Seconds() / float64(max(s.running, 1))
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -302,6 +302,15 @@
 	if total := sent[0] + sent[1]; total < 0.19 || total > 0.21 || sent[1] > 0.01 {
 		t.Errorf("%v units a second on average, of a part of 0.2", sent)
 	}
+	for n := range 4 { // two mean ops a window, whatever their lots
+		if got := s.coldRoom(o, 2, 0, true); got != (n < 2) {
+			t.Errorf("op %d of a window may leave: %v", n+1, got)
+		}
+		o.log = append(o.log, struct {
+			at    time.Duration
+			units float64
+		}{s.now, 2})
+	}
 }
 
 // Where one op of each host is more than a node serves in time (incident i65239e), ops beyond the reserve leave
