--- a/policy/policy.go
+++ b/policy/policy.go
@@ -241,11 +241,12 @@
 	}
 }
 
-// sound tells whether a disk server may be given new objects: not where errors come back fast, which would
-// otherwise look like room, nor where it is cold or down. It could harm when most servers fail at once.
+// sound tells whether a disk server may be given new objects: not where errors, resets or full queues come
+// back fast, which would otherwise look like room, nor where it is cold or down. It could harm when most
+// servers fail at once.
 func (s *Scheduler) sound(o *osd) bool {
 	live := o.health == up || o.health == trial && o.out == 0
-	return live && o.failing < failingTooMuch && s.coldRoom(o, 1, 1, false)
+	return live && s.failing(o) < failingTooMuch && s.coldRoom(o, 1, 1, false)
 }
 
 // ---- Slices (iShare) ----
@@ -663,8 +664,8 @@
 	honeyplank.Errored:     {maybe: true, says: inGood, effect: (*Scheduler).blame},
 	honeyplank.Full:        {says: inGood, effect: (*Scheduler).ranOut},
 	honeyplank.TimedOut:    {maybe: true, runs: true, effect: (*Scheduler).ranOut},
-	honeyplank.Unconnected: {says: inLost},
-	honeyplank.Reset:       {maybe: true, runs: true, says: inLost},
+	honeyplank.Unconnected: {says: inLost, effect: (*Scheduler).blame},
+	honeyplank.Reset:       {maybe: true, runs: true, says: inLost, effect: (*Scheduler).blame},
 	honeyplank.Cancelled:   {maybe: true, runs: true},
 	honeyplank.Moot:        {},
 }
@@ -742,6 +743,7 @@
 	o.credit = min(o.credit+1, creditMost)
 	o.failing -= blending * o.failing
 	s.learn(o, e.Elapsed.Seconds())
+	s.usual = blend(s.usual, e.Elapsed.Seconds(), blending)
 	o.perUnit = blend(o.perUnit, e.Elapsed.Seconds()/max(p.Units, 1), blending)
 	if o.best == 0 || o.perUnit < o.best {
 		o.best = o.perUnit
@@ -784,7 +786,7 @@
 
 func (s *Scheduler) learn(o *osd, took float64) {
 	o.latency = blend(s.latency(o), took, max(blending, 1-s.fresh(o)))
-	s.usual, o.told = blend(s.usual, took, blending), s.now
+	o.told = s.now
 }
 
 // soonest is when an answer of a node is worth hoping for: many come in half of their mean time.
@@ -793,21 +795,34 @@
 }
 
 // ranOut takes a time-out for an answer that takes at least as long, up to the shortest target latency (past
-// that it may be lost rather than late), and a full queue for one past the longest.
-func (s *Scheduler) ranOut(o *osd, _ *op, e honeyplank.Outcome) {
+// that it may be lost rather than late), and a full queue for one past the longest, but only of that node.
+// This guards the rest against a node that turns all away, and could harm where all are full at once.
+func (s *Scheduler) ranOut(o *osd, p *op, e honeyplank.Outcome) {
 	shortest, longest := s.targets()
 	least := min(e.Elapsed, shortest)
 	if e.Code == honeyplank.Full {
 		least = longest
 		halve(o)
+		s.blame(o, p, e)
 	}
 	if least.Seconds() > s.latency(o) {
 		s.learn(o, least.Seconds())
+		if e.Code != honeyplank.Full {
+			s.usual = blend(s.usual, least.Seconds(), blending)
+		}
 	}
 }
 
+// blame counts ends that brought nothing; failing is their recent share. It is forgotten over time, since a
+// host that only writes would never hear of a server again.
 func (s *Scheduler) blame(o *osd, _ *op, _ honeyplank.Outcome) {
-	o.failing += blending * (1 - o.failing)
+	f := s.failing(o)
+	o.failing, o.blamed = f+blending*(1-f), s.now
+}
+
+func (s *Scheduler) failing(o *osd) float64 {
+	_, longest := s.targets()
+	return o.failing * math.Exp(-float64(s.now-o.blamed)/float64(max(longest, s.sweepEvery())))
 }
 
 func halve(o *osd) { o.window = max(floor, o.window/2) }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -427,3 +427,31 @@
 		}
 	}
 }
+
+// A server that turns ops away or breaks connections gets no new objects for a while, and tells nothing of the others.
+func TestServerThatTurnsAllAway(t *testing.T) {
+	for _, code := range []honeyplank.Code{honeyplank.Full, honeyplank.Reset} {
+		w := newWorld(t, 1, figures())
+		w.list(honeyplank.Remembered, member(0, 0), member(1, 0))
+		s, o := w.hosts[0], w.hosts[0].osds["osd0"]
+		s.usual = 0.02
+		for i := range 8 {
+			w.op("a", i, 1, int64(i), 0)
+			if n := len(w.order[i].sends); n == 1 {
+				w.end(w.order[i], code)
+			}
+			w.now += 20 * ms
+			w.give(0, honeyplank.Timer{Name: "sweep"})
+		}
+		if s.sound(o) || !s.sound(s.osds["osd1"]) {
+			t.Errorf("%v: osd0 counts as sound: %v, the other: %v", code, s.sound(o), s.sound(s.osds["osd1"]))
+		}
+		if other := s.latency(s.osds["osd1"]); other > 0.03 {
+			t.Errorf("%v: the other is believed to take %v s", code, other)
+		}
+		o.health = up
+		if s.now += time.Minute; !s.sound(o) {
+			t.Errorf("%v: not tried again", code)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -32,11 +32,12 @@
 	answers float64       // answers since the window last grew
 	spell   bool          // latency stays past twice its best
 	credit  float64       // further dispatches earned by answers
-	failing float64       // recent share of answers that were errors
-	log     []sent        // units sent within the window of the cold rule
-	holding int           // ops held here
-	queues  []*queue      // in ring order
-	live    []*queue      // those with held ops, in ring order
+	failing float64       // recent share of dispatches that brought nothing, when last blamed
+	blamed  time.Duration
+	log     []sent   // units sent within the window of the cold rule
+	holding int      // ops held here
+	queues  []*queue // in ring order
+	live    []*queue // those with held ops, in ring order
 	of      map[*volume]*queue
 	serial  int // of the queue made last
 	served  *queue
