--- a/internal/wire/provision.go
+++ b/internal/wire/provision.go
@@ -59,7 +59,6 @@
 	} `json:"plans"`
 	Report struct {
 		Fields []string `json:"fields"`
-		How    string   `json:"how"`
 	} `json:"report"`
 	Rules struct {
 		AskWithin float64  `json:"ask_within_ms"`
@@ -133,7 +132,6 @@
 		"cold.window": span(f.Rules.Fall), "cold.units": f.Family.YoungLimit,
 		"cold.multiple": f.Rules.Multiple, "order.settle": span(f.Rules.Settle),
 		"units.mean": f.Family.UnitMean, "units.largest": f.Family.Largest,
-		"load.probed":   f.Report.How == "pull" && f.Caps.Probes,
 		"utility.share": f.Family.WithinShare, "utility.spare": f.Family.IdleWorth,
 		"meter.period": span(f.Family.UsePeriod), "meter.elsewhere": f.Family.CountsOthers,
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -67,8 +67,6 @@
 		if e.Name == "watch" && !s.watched {
 			s.ask()
 		}
-	case honeyplank.Probed:
-		s.probed(e)
 	case honeyplank.Lapsed:
 		if p := s.ops[e.Op]; p != nil && !p.over {
 			s.forget(p)
@@ -202,9 +200,7 @@
 	s.open(p)
 	_, longest := s.targets()
 	s.tally(p, s.due(p), 2*longest)
-	s.probes = min(s.probes+0.3, creditMost)
 	if s.house(p); p.queue != nil {
-		s.probe(p.osd)
 		p.queue.thinkt.gap(s.now, avgA, avgB)
 		p.queue.demand.add(s.now, p.Units, 2*longest)
 		s.pump(p.osd)
@@ -253,37 +249,6 @@
 	return live && s.failing(o) < failingTooMuch && s.coldRoom(o, 1, 1, false)
 }
 
-func (s *Scheduler) probe(o *osd) {
-	if s.set.probed && !o.asking && s.now-max(o.told, o.reported) > s.set.shortest && o.health == up && s.probes >= 1 {
-		s.probes--
-		o.asking, o.askedAt = true, s.now
-		s.act(honeyplank.Probe{OSD: o.OSD})
-	}
-}
-
-func (s *Scheduler) probed(e honeyplank.Probed) {
-	o := s.osds[e.OSD]
-	if o == nil {
-		return
-	}
-	o.asking = false
-	if n, ok := e.Load["inflight"]; ok && e.Code == honeyplank.Acked {
-		o.reported, o.load = s.now, bucket(n)
-		if l := s.seen[o.load]; l > 0 {
-			o.latency, o.told = l, s.now
-		}
-	}
-	s.pump(o)
-}
-
-func bucket(n float64) int {
-	b := 0
-	for m := 1.0; n > m && b < 9; m *= 1.5 {
-		b++
-	}
-	return b
-}
-
 // ---- Slices (iShare) ----
 
 // turns is read by pump; a pair that is missing ends the pump.
@@ -485,9 +450,6 @@
 		return false
 	}
 	due, excess := s.due(p), 1.0
-	if !due && o.asking && s.now-o.askedAt < 2*s.sweepEvery() {
-		return false
-	}
 	window := s.places(o, dueOfTarget)
 	if !due {
 		window, excess = s.places(o, spareOfTarget), s.excess(p)
@@ -780,9 +742,6 @@
 func (s *Scheduler) measure(o *osd, p *op, e honeyplank.Outcome) {
 	o.credit = min(o.credit+1, creditMost)
 	o.failing -= blending * o.failing
-	if o.reported > 0 && s.now-o.reported < 2*s.set.longest {
-		s.seen[o.load] = blend(s.seen[o.load], e.Elapsed.Seconds(), blending/2)
-	}
 	s.learn(o, e.Elapsed.Seconds())
 	s.usual = blend(s.usual, e.Elapsed.Seconds(), blending)
 	o.perUnit = blend(o.perUnit, e.Elapsed.Seconds()/max(p.Units, 1), blending)
--- a/policy/state.go
+++ b/policy/state.go
@@ -18,38 +18,35 @@
 // osd is the one record of a disk server.
 type osd struct {
 	honeyplank.Member
-	asking            bool
-	askedAt, reported time.Duration
-	load              int
-	placed            bool // counted among those that run
-	health            health
-	since             time.Duration // start of the present health state
-	rest              time.Duration // how long it is left alone once down
-	window            float64       // ops of this host that may be out here
-	out               int           // ops of this host that are out here
-	oldest            time.Duration // since when something has been out without any answer
-	latency           float64       // recent answer time, in seconds
-	told              time.Duration // when latency last took something in
-	perUnit           float64       // recent answer time for each unit of size, in seconds
-	best              float64       // the best of perUnit, slowly forgotten
-	answers           float64       // answers since the window last grew
-	spell             bool          // latency stays past twice its best
-	credit            float64       // further dispatches earned by answers
-	failing           float64       // recent share of dispatches that brought nothing, when last blamed
-	blamed            time.Duration
-	log               []sent   // units sent within the window of the cold rule
-	holding           int      // ops held here
-	queues            []*queue // in ring order
-	live              []*queue // those with held ops, in ring order
-	of                map[*volume]*queue
-	serial            int // of the queue made last
-	served            *queue
-	turn              turn
-	until             time.Duration // end of the served volume's slice
-	waits             time.Duration // end of the wait for its next op
-	round             int
-	lastKey           int64 // key of the last op sent, to keep runs together
-	known             belief
+	placed  bool // counted among those that run
+	health  health
+	since   time.Duration // start of the present health state
+	rest    time.Duration // how long it is left alone once down
+	window  float64       // ops of this host that may be out here
+	out     int           // ops of this host that are out here
+	oldest  time.Duration // since when something has been out without any answer
+	latency float64       // recent answer time, in seconds
+	told    time.Duration // when latency last took something in
+	perUnit float64       // recent answer time for each unit of size, in seconds
+	best    float64       // the best of perUnit, slowly forgotten
+	answers float64       // answers since the window last grew
+	spell   bool          // latency stays past twice its best
+	credit  float64       // further dispatches earned by answers
+	failing float64       // recent share of dispatches that brought nothing, when last blamed
+	blamed  time.Duration
+	log     []sent   // units sent within the window of the cold rule
+	holding int      // ops held here
+	queues  []*queue // in ring order
+	live    []*queue // those with held ops, in ring order
+	of      map[*volume]*queue
+	serial  int // of the queue made last
+	served  *queue
+	turn    turn
+	until   time.Duration // end of the served volume's slice
+	waits   time.Duration // end of the wait for its next op
+	round   int
+	lastKey int64 // key of the last op sent, to keep runs together
+	known   belief
 }
 
 // belief is the latency last worked out, and what it was worked out from.
@@ -230,7 +227,6 @@
 	hosts                int
 	unitsMean            float64
 	unitsLargest         float64
-	probed               bool
 	meterPeriod          time.Duration
 	elsewhere            bool
 	parallel             bool
@@ -272,7 +268,6 @@
 		unitsLargest: get[float64](settings, "units.largest"),
 		meterPeriod:  get[time.Duration](settings, "meter.period"),
 		elsewhere:    get[bool](settings, "meter.elsewhere"),
-		probed:       get[bool](settings, "load.probed"),
 		parallel:     get[bool](settings, "dispatches.parallel"),
 		dispatches:   get[int](settings, "dispatches.max"),
 		budgetWindow: get[time.Duration](settings, "budget.window"),
@@ -447,8 +442,6 @@
 	first   *op // of the held ones, in the order taken; also those with no disk server
 	last    *op
 	serial  int
-	probes  float64
-	seen    [10]float64
 	nowhere int // held ops with no disk server
 	volumes map[int64]*volume
 	keys    map[int64]*key
