--- a/policy/policy.go
+++ b/policy/policy.go
@@ -459,7 +459,15 @@
 	if o.out > 0 || window >= 1 {
 		return float64(o.out) < window
 	}
-	return p.lot*excess < window/(1-window)
+	return p.lot*excess < s.hope(o, p)*window/(1-window)
+}
+
+// hope is how likely an op with little time left is to be answered in it, roughly. It guards crowded nodes
+// against tries that clients in a hurry give up. It could harm where the latency seen is long past.
+func (s *Scheduler) hope(o *osd, p *op) float64 {
+	left := (min(p.Timeout, p.target) - s.now).Seconds()
+	part := min(1, max(left, 0)/max(s.latency(o), 1e-9))
+	return part * part
 }
 
 // excess is how far a volume asks for more at a node than others do by its weight, as seen by this host: with
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand"
 	"reflect"
 	"testing"
@@ -323,7 +324,7 @@
 		s.set = read(w.set)
 		o := s.osds["osd0"]
 		o.out, o.best, o.latency, o.told, s.usual = 0, 0.02, 0.2, s.now, 0.2
-		p := &op{Op: honeyplank.Op{Timeout: time.Second}, volume: &volume{hosts: 1}, lot: 0.5}
+		p := &op{Op: honeyplank.Op{Timeout: time.Second, Units: 1}, target: time.Second, volume: &volume{hosts: 1}, lot: 0.5}
 		got := []bool{s.room(o, p)}
 		for _, asked := range []float64{1, 4000} {
 			p.lot, p.queue = 0.01, &queue{demand: flow{units: asked, time: 1}}
@@ -455,3 +456,19 @@
 		}
 	}
 }
+
+// Where a node is crowded, an op with less time left than answers take is thinned by the square of what it lacks.
+func TestTriesInAHurryAreThinned(t *testing.T) {
+	s := New(1, figures())
+	o := &osd{latency: 0.4, told: time.Second}
+	s.now, s.usual = time.Second, 0.4
+	for left, want := range map[time.Duration]float64{time.Second: 1, 400 * ms: 1, 200 * ms: 0.25, 0: 0, -time.Second: 0} {
+		in, gone := &op{target: s.now + left}, &op{target: time.Hour}
+		in.Timeout, gone.Timeout = time.Hour, s.now+left
+		for _, p := range []*op{in, gone} {
+			if got := s.hope(o, p); math.Abs(got-want) > 1e-9 {
+				t.Errorf("%v left: %v, want %v", left, got, want)
+			}
+		}
+	}
+}
