--- a/cmd/honeyplank/main.go
+++ b/cmd/honeyplank/main.go
@@ -20,6 +20,7 @@
 
 	"honeyplank/bench"
 	"honeyplank/gateway"
+	"honeyplank/learnt"
 	"honeyplank/rehearse"
 	"honeyplank/settings"
 )
@@ -81,6 +82,33 @@
 	File string        `arg:"" help:"Settings, as XML."`
 	Seed int64         `help:"Seed of the gateway's random numbers; 0: from the time."`
 	Stop time.Duration `help:"How long a stop may take before what is left is aborted." default:"30s"`
+	// Learnt is kept across a switch: docs/migration.md.
+	Learnt string `help:"File in which what is learnt of disk servers is kept from a stop to the next start." placeholder:"FILE"`
+}
+
+// learnt reads the file of the instance before; without a sound one the start is as any other.
+func (c *serveCommand) learnt(log zerolog.Logger) *learnt.Record {
+	if c.Learnt == "" {
+		return nil
+	}
+	r, err := learnt.Read(c.Learnt)
+	if err != nil {
+		log.Warn().Err(err).Msg("starting without what was learnt")
+		return nil
+	}
+	log.Info().Int("osds", len(r.Servers)).Msg("starting with what was learnt")
+	return r
+}
+
+// keep writes the file for the instance to come.
+func (c *serveCommand) keep(g *gateway.Instance, log zerolog.Logger) {
+	if r, ok := g.Learnt(); c.Learnt != "" && ok {
+		if err := r.Write(c.Learnt); err != nil {
+			log.Warn().Err(err).Msg("what was learnt is not kept")
+			return
+		}
+		log.Info().Int("osds", len(r.Servers)).Msg("what was learnt is kept")
+	}
 }
 
 func (c *serveCommand) Run(log zerolog.Logger) error {
@@ -91,7 +119,7 @@
 	if c.Seed == 0 {
 		c.Seed = time.Now().UnixNano()
 	}
-	g, err := gateway.New(gateway.Options{Settings: s, Seed: c.Seed, Log: log})
+	g, err := gateway.New(gateway.Options{Settings: s, Seed: c.Seed, Learnt: c.learnt(log), Log: log})
 	if err != nil {
 		return err
 	}
@@ -106,6 +134,7 @@
 	case <-ctx.Done():
 	}
 	stop() // a second signal ends the process at once
+	c.keep(g, log)
 	within, cancel := context.WithTimeout(context.Background(), c.Stop)
 	defer cancel()
 	err = g.Shutdown(within)
--- a/cmd/honeyplank/main_test.go
+++ b/cmd/honeyplank/main_test.go
@@ -19,6 +19,7 @@
 
 	"honeyplank/gateway"
 	"honeyplank/initiator"
+	"honeyplank/learnt"
 	"honeyplank/loop"
 	"honeyplank/members"
 	"honeyplank/nvme"
@@ -71,6 +72,8 @@
 	}
 	bad := filepath.Join(t.TempDir(), "bad.xml")
 	os.WriteFile(bad, []byte(strings.Replace(string(text), `ask-within="4s" most="20000"`, `ask-within="soon"`, 1)), 0o600)
+	other := filepath.Join(t.TempDir(), "other.xml")
+	os.WriteFile(other, []byte(strings.Replace(string(text), `meter-period="1s"`, `meter-elsewhere="perhaps"`, 1)), 0o600)
 	for _, c := range []struct {
 		arguments string
 		code      int
@@ -83,6 +86,7 @@
 		{"rehearse --script " + good, 2, "has no <rehearsal>"},
 		{"rehearse --trouble none", 2, "no trouble is called"},
 		{"rehearse --no-such-flag", 2, "unknown flag"},
+		{"settings check " + other, 2, other + `:31: meter-elsewhere="perhaps"`},
 		{"settings schema", 0, "xs:schema"},
 		{"version", 0, "honeyplank"},
 	} {
@@ -172,7 +176,7 @@
 }
 
 // daemon starts serve and returns where it listens.
-func daemon(t *testing.T, s *settings.Gateway, seed int) string {
+func daemon(t *testing.T, s *settings.Gateway, seed int, more ...string) string {
 	t.Helper()
 	text, err := s.XML()
 	if err != nil {
@@ -180,7 +184,7 @@
 	}
 	file := filepath.Join(t.TempDir(), "gateway.xml")
 	os.WriteFile(file, text, 0o600)
-	c := exec.Command(binary, "serve", "--seed", fmt.Sprint(seed), file)
+	c := exec.Command(binary, append([]string{"serve", "--seed", fmt.Sprint(seed), file}, more...)...)
 	pipe, err := c.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -244,3 +248,26 @@
 	l.Post(a.Close)
 	return b.String()
 }
+
+// TestLearntFile stops and starts a daemon that keeps what it learns: a stop writes the file, a start reads it, and one
+// that is damaged keeps no daemon from serving.
+func TestLearntFile(t *testing.T) {
+	text, err := os.ReadFile("../../settings/examples/gateway.xml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := settings.Parse("example", []byte(strings.Replace(string(text), "127.0.0.1:4420", "127.0.0.1:0", 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "learnt")
+	for _, before := range []string{"", "damaged"} {
+		if os.Remove(file); before != "" {
+			os.WriteFile(file, []byte(before), 0o600)
+		}
+		t.Run("file "+before, func(t *testing.T) { daemon(t, s, 1, "--learnt", file) }) // its end is a stop in order
+		if _, err := learnt.Read(file); err != nil {
+			t.Errorf("after a start with %q and a stop: %v", before, err)
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"honeyplank"
 	"honeyplank/belief"
+	"honeyplank/learnt"
 	"honeyplank/loop"
 	"honeyplank/members"
 	"honeyplank/nvme"
@@ -39,6 +40,8 @@
 	Seed     int64
 	// Module makes the decision module; nil: policy.New.
 	Module func(seed int64, settings map[string]any) Module
+	// Learnt is what an instance before this one knew of the disk servers; nil: nothing.
+	Learnt *learnt.Record
 	Log    zerolog.Logger
 }
 
@@ -194,6 +197,9 @@
 	defer close(g.done)
 	stop := context.AfterFunc(ctx, func() { g.loop.Post(func() { g.drain(g.loop.Stop) }) })
 	defer stop()
+	if r := g.o.Learnt; r != nil {
+		g.loop.Post(func() { g.tell(r.For(int64(g.s.Volumes.Unit), g.loop.Span)) })
+	}
 	// An empty list as last seen starts the module, which asks for the watch.
 	g.loop.Post(func() { g.tell(honeyplank.List{Kind: honeyplank.Remembered}) })
 	if g.ask != nil {
@@ -270,6 +276,25 @@
 	}
 }
 
+// Learnt asks the loop what the module knows of the disk servers; a module that doesn't tell, and an instance that has
+// ended, answer nothing.
+func (g *Instance) Learnt() (r *learnt.Record, ok bool) {
+	module, tells := g.module.(interface{ Learnt() honeyplank.Learnt })
+	answer := make(chan *learnt.Record, 1)
+	if !tells || !g.loop.Post(func() {
+		start := time.Now().Add(-g.loop.Now())
+		answer <- learnt.Of(module.Learnt(), int64(g.s.Volumes.Unit), start.Add)
+	}) {
+		return nil, false
+	}
+	select {
+	case r = <-answer:
+		return r, true
+	case <-g.done:
+		return nil, false
+	}
+}
+
 // drain stops taking ops and calls then once all that were taken are settled and their answers are sent.
 func (g *Instance) drain(then func()) {
 	if g.ending {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -18,6 +19,7 @@
 
 	"honeyplank/gateway"
 	"honeyplank/initiator"
+	"honeyplank/learnt"
 	"honeyplank/loop"
 	"honeyplank/members"
 	"honeyplank/nvme"
@@ -803,3 +805,59 @@
 		}
 	}
 }
+
+// TestSwitch hands what one instance has learnt to the next, as a planned stop and start does: it is known before the
+// first op, ops of the first second are served, and what was learnt of a server that has started since is not.
+func TestSwitch(t *testing.T) {
+	w := start(t)
+	a := w.dial("client")
+	for i := range 20 {
+		for cell := range 2 {
+			if _, status := w.op(a, nvme.NewRW(nvme.Read, 1, uint64(256*cell+i), 1), nil); status != nvme.Success {
+				t.Fatalf("before the switch: %#x", status)
+			}
+		}
+	}
+	before, ok := w.g.Learnt()
+	if !ok || len(before.Servers) != 2 || before.Usual <= 0 || before.Servers[0].Best <= 0 || before.Servers[1].Latency <= 0 {
+		t.Fatalf("learnt: %+v, %v", before, ok)
+	}
+	file := filepath.Join(t.TempDir(), "learnt")
+	if err := before.Write(file); err != nil {
+		t.Fatal(err)
+	}
+	kept, err := learnt.Read(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.g.Kill()
+	// The second one has started anew since.
+	value, _ := json.Marshal(members.Record{State: "on", Size: 1, Cell: 1, StartedMS: time.Now().UnixMilli()})
+	w.etcd.Set("/honeyplank/nodes/"+w.disks[1].Address(), value)
+	if w.g, err = gateway.New(gateway.Options{Settings: w.s, Seed: 2, Learnt: kept, Log: zerolog.Nop()}); err != nil {
+		t.Fatal(err)
+	}
+	go w.g.Serve(context.Background())
+	w.eventually("what still holds is known before any op, and no more", func() bool {
+		now, ok := w.g.Learnt()
+		if !ok || len(now.Servers) != 1 {
+			return false
+		}
+		was := before.Servers[0]
+		if was.OSD != w.disks[0].Address() {
+			was = before.Servers[1]
+		}
+		is := now.Servers[0]
+		return w.counts().Taken == 0 && is.OSD == was.OSD && is.Best == was.Best && is.Latency == was.Latency && is.At.Sub(was.At).Abs() < time.Second
+	})
+	a = w.dial("client")
+	began := time.Now()
+	for i := range 40 {
+		if _, status := w.op(a, nvme.NewRW(nvme.Read, 1, uint64(256*(i%2)+i/2), 1), nil); status != nvme.Success {
+			t.Errorf("op %d, %v after the switch: %#x", i, time.Since(began), status)
+		}
+	}
+	if after, _ := w.g.Learnt(); len(after.Servers) != 2 {
+		t.Errorf("the server that started anew is not learnt afresh: %+v", after)
+	}
+}
--- a/honeyplank.go
+++ b/honeyplank.go
@@ -80,7 +80,7 @@
 // NewObject as an op's Cell: any disk server may take it.
 const NewObject = -1
 
-// Event is one of List, Op, Outcome, Began, Timer, Probed, Peer, Lapsed.
+// Event is one of List, Op, Outcome, Began, Timer, Probed, Peer, Lapsed, Learnt.
 type Event interface{ event() }
 
 type (
@@ -140,6 +140,19 @@
 	}
 	// Lapsed tells that the client has gone; nothing more is owed.
 	Lapsed struct{ Op OpID }
+	// Learnt tells, before any other event, what an instance before this one knew of the disk servers.
+	Learnt struct {
+		Usual   float64 // recent answer time of all, in seconds
+		Servers []Known
+	}
+	// Known is what was known of a disk server. At is on the clock of the instance that is told, and may lie
+	// before its start.
+	Known struct {
+		OSD     OSDID
+		At      time.Duration // when something was last learnt there
+		Best    float64       // best answer time for each unit, in seconds; 0: not known
+		Latency float64       // recent answer time, in seconds
+	}
 )
 
 func (List) event()    {}
@@ -150,6 +163,7 @@
 func (Probed) event()  {}
 func (Peer) event()    {}
 func (Lapsed) event()  {}
+func (Learnt) event()  {}
 
 // Action is one of Dispatch, Throttle, Abort, Cancel, Probe, Tell, Log,
 // Watch, Fetch, SetTimer, CloseIdle.
--- /dev/null
+++ b/learnt/learnt.go
@@ -0,0 +1,127 @@
+// Package learnt is the file in which what an instance knows of disk servers outlives it: the figures that mean the
+// same to the instance that comes after. docs/migration.md has the format. It decides nothing: what a figure is still
+// worth, the module tells by its age and the server's last start.
+package learnt
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"math"
+	"os"
+	"path/filepath"
+	"time"
+
+	"honeyplank"
+)
+
+// Record is what one instance knew when it was asked.
+type Record struct {
+	Unit    int64    `json:"unit"`  // bytes of a unit, by which best is counted
+	Usual   float64  `json:"usual"` // recent answer time of all servers, in seconds
+	Servers []Server `json:"servers"`
+}
+
+// Server is what it knew of one disk server.
+type Server struct {
+	OSD     string    `json:"osd"`
+	At      time.Time `json:"at"`      // when it last learnt something there
+	Best    float64   `json:"best"`    // best answer time for each unit, in seconds
+	Latency float64   `json:"latency"` // recent answer time, in seconds
+}
+
+const (
+	magic    = "honeyplank-learnt 1 "
+	sizeMost = 16 << 20
+)
+
+var table = crc32.MakeTable(crc32.Castagnoli)
+
+// Encode writes a record out: a line of magic, version and CRC-32C of the rest, then JSON.
+func (r *Record) Encode() ([]byte, error) {
+	body, err := json.Marshal(r)
+	if err != nil {
+		return nil, err
+	}
+	return append(fmt.Appendf(nil, "%s%08x\n", magic, crc32.Checksum(body, table)), body...), nil
+}
+
+// Decode reads a record; a damaged one is an error as a whole.
+func Decode(b []byte) (*Record, error) {
+	head, body, ok := bytes.Cut(b, []byte("\n"))
+	if !ok || len(b) > sizeMost || !bytes.HasPrefix(head, []byte(magic)) {
+		return nil, errors.New("not a file of what was learnt, version 1")
+	}
+	if sum := fmt.Sprintf("%08x", crc32.Checksum(body, table)); sum != string(head[len(magic):]) {
+		return nil, fmt.Errorf("its checksum is %s, its content's %s", head[len(magic):], sum)
+	}
+	r := &Record{}
+	if err := json.Unmarshal(body, r); err != nil {
+		return nil, err
+	}
+	for _, s := range append(r.Servers, Server{Latency: r.Usual}) {
+		if s.Best < 0 || s.Latency < 0 || math.IsInf(s.Best+s.Latency, 0) {
+			return nil, fmt.Errorf("%q: a time below 0 or without end", s.OSD)
+		}
+	}
+	return r, nil
+}
+
+// Read reads a file; one that is missing is an error that os.ErrNotExist matches.
+func Read(file string) (*Record, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	r, err := Decode(b)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return r, nil
+}
+
+// Write replaces a file as a whole or leaves it as it was.
+func (r *Record) Write(file string) error {
+	b, err := r.Encode()
+	if err != nil {
+		return err
+	}
+	f, err := os.CreateTemp(filepath.Dir(file), ".learnt-*")
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(b)
+	err = errors.Join(err, f.Sync(), f.Close())
+	if err == nil {
+		err = os.Rename(f.Name(), file)
+	}
+	if err != nil {
+		os.Remove(f.Name())
+	}
+	return err
+}
+
+// Of puts what a module knows into a record; at turns its clock into the wall's.
+func Of(l honeyplank.Learnt, unit int64, at func(time.Duration) time.Time) *Record {
+	r := &Record{Unit: unit, Usual: l.Usual}
+	for _, k := range l.Servers {
+		r.Servers = append(r.Servers, Server{string(k.OSD), at(k.At), k.Best, k.Latency})
+	}
+	return r
+}
+
+// For is what a record tells an instance whose units are so large. Where they differ, a time for each unit means
+// something else and is left out.
+func (r *Record) For(unit int64, span func(time.Time) time.Duration) honeyplank.Learnt {
+	l := honeyplank.Learnt{Usual: r.Usual}
+	for _, s := range r.Servers {
+		k := honeyplank.Known{OSD: honeyplank.OSDID(s.OSD), At: span(s.At), Best: s.Best, Latency: s.Latency}
+		if r.Unit != unit {
+			k.Best = 0
+		}
+		l.Servers = append(l.Servers, k)
+	}
+	return l
+}
--- /dev/null
+++ b/learnt/learnt_test.go
@@ -0,0 +1,88 @@
+package learnt
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+	"time"
+
+	"honeyplank"
+)
+
+func record() *Record {
+	return &Record{Unit: 16 << 10, Usual: 0.03, Servers: []Server{
+		{"127.0.0.1:5001", time.UnixMilli(1_000_000).UTC(), 0.002, 0.01}, {"127.0.0.1:5002", time.UnixMilli(2_000_000).UTC(), 0.02, 0.3}}}
+}
+
+func TestFile(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "learnt")
+	if _, err := Read(file); !os.IsNotExist(err) {
+		t.Errorf("no file: %v", err)
+	}
+	for range 2 { // the second replaces the first
+		if err := record().Write(file); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if r, err := Read(file); err != nil || !reflect.DeepEqual(r, record()) {
+		t.Errorf("%+v, %v", r, err)
+	}
+	if list, _ := os.ReadDir(filepath.Dir(file)); len(list) != 1 {
+		t.Errorf("left beside it: %v", list)
+	}
+	b, _ := os.ReadFile(file)
+	for i := range b { // any one byte that is not as written
+		c := append([]byte(nil), b...)
+		c[i] ^= 1
+		if _, err := Decode(c); err == nil {
+			t.Fatalf("byte %d changed: read as sound", i)
+		}
+		if _, err := Decode(b[:i]); err == nil {
+			t.Fatalf("cut at %d: read as sound", i)
+		}
+	}
+	bad := record()
+	bad.Servers[0].Best = -1
+	if b, _ := bad.Encode(); b != nil {
+		if _, err := Decode(b); err == nil {
+			t.Error("a time below 0 is read as sound")
+		}
+	}
+}
+
+// What a unit means is told with it.
+func TestOtherUnits(t *testing.T) {
+	span := func(at time.Time) time.Duration { return at.Sub(time.UnixMilli(0)) }
+	same, other := record().For(16<<10, span), record().For(4<<10, span)
+	if k := same.Servers[1]; k != (honeyplank.Known{OSD: "127.0.0.1:5002", At: 2000 * time.Second, Best: 0.02, Latency: 0.3}) {
+		t.Errorf("same units: %+v", k)
+	}
+	if k := other.Servers[1]; k.Best != 0 || k.Latency != 0.3 {
+		t.Errorf("other units: %+v", k)
+	}
+	if back := Of(same, 16<<10, func(d time.Duration) time.Time { return time.UnixMilli(0).Add(d).UTC() }); !reflect.DeepEqual(back, record()) {
+		t.Errorf("there and back: %+v", back)
+	}
+}
+
+// FuzzDecode reads any bytes: no panic, and what is read as sound is written the same.
+func FuzzDecode(f *testing.F) {
+	b, _ := record().Encode()
+	f.Add(b)
+	f.Add([]byte(magic + "00000000\n"))
+	f.Add([]byte(magic + "\n{}"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r, err := Decode(b)
+		if err != nil {
+			return
+		}
+		again, err := r.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if twice, err := Decode(again); err != nil || !reflect.DeepEqual(twice, r) {
+			t.Fatalf("%+v is read back as %+v, %v", r, twice, err)
+		}
+	})
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -34,11 +34,23 @@
 	return &Scheduler{
 		set: read(settings), rng: rand.New(rand.NewSource(seed)),
 		osds: map[honeyplank.OSDID]*osd{}, ops: map[honeyplank.OpID]*op{},
-		volumes: map[int64]*volume{}, keys: map[int64]*key{}, holders: map[int][]*osd{},
+		known: map[honeyplank.OSDID]honeyplank.Known{}, volumes: map[int64]*volume{},
+		keys: map[int64]*key{}, holders: map[int][]*osd{},
 		patient: make([]time.Duration, len(get[[]time.Duration](settings, "optypes.op_timeout"))),
 	}
 }
 
+// Learnt is what means the same to an instance that comes after: how fast servers are.
+func (s *Scheduler) Learnt() honeyplank.Learnt {
+	l := honeyplank.Learnt{Usual: s.usual}
+	for _, o := range s.order {
+		if o.latency > 0 && o.Started <= max(o.told, 0) {
+			l.Servers = append(l.Servers, honeyplank.Known{OSD: o.OSD, At: o.told, Best: o.best, Latency: o.latency})
+		}
+	}
+	return l
+}
+
 // Handle takes one event and returns what is to be done at once.
 func (s *Scheduler) Handle(now time.Duration, event honeyplank.Event) []honeyplank.Action {
 	s.now, s.out = now, nil
@@ -67,6 +79,11 @@
 		if e.Name == "watch" && !s.watched {
 			s.ask()
 		}
+	case honeyplank.Learnt:
+		s.usual = e.Usual
+		for _, k := range e.Servers {
+			s.known[k.OSD] = k
+		}
 	case honeyplank.Lapsed:
 		if p := s.ops[e.Op]; p != nil && !p.over {
 			s.forget(p)
@@ -108,6 +125,11 @@
 		o := s.osds[m.OSD]
 		if o == nil { // what was sent to it before this instance started is unknown: that counts as too much
 			o = s.add(&osd{Member: m, window: floor, credit: creditMost, log: []sent{{s.born, math.Inf(1)}}})
+			// What an instance before this one had learnt holds unless the server has started since. It guards
+			// the first seconds after a switch; it could harm where a machine was replaced under one address.
+			if k, ok := s.known[m.OSD]; ok && m.Started <= max(k.At, 0) {
+				o.best, o.latency, o.told = k.Best, k.Latency, min(k.At, s.now)
+			}
 		}
 		if m.Started > o.Started {
 			s.judge(o, inBorn)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -54,6 +54,11 @@
 		w := newWorld(t, seed, generate(r))
 		codes := []honeyplank.Code{1, 1, 1, 1, 2, 3, 4, 5, 6, 7, 8}
 		w.now = time.Second
+		before := rand.New(rand.NewSource(seed + 1))
+		for i := range before.Intn(2) * len(w.hosts) { // some have learnt before, also nonsense
+			w.give(i, honeyplank.Learnt{Usual: before.Float64(), Servers: []honeyplank.Known{{OSD: "osd0",
+				At: time.Duration(before.Intn(4000)-2000) * ms, Best: before.Float64() * 0.1, Latency: before.Float64()}, {OSD: "osd9", Latency: 3}}})
+		}
 		w.list(honeyplank.Remembered, member(0, 0), member(1, 0), member(2, 0), member(3, 0))
 		for n := 0; n < 1500; n++ {
 			for range r.Intn(3) {
@@ -63,7 +68,11 @@
 					Units: float64(1 + r.Intn(6)), Timeout: w.now + left, Type: typ, Keyed: true,
 					Key: int64(r.Intn(6)), Hosts: len(w.hosts), Volume: int64(r.Intn(5)), Cell: r.Intn(5) - 1})
 			}
-			switch o := r.Intn(4); r.Intn(150) {
+			kind := r.Intn(150)
+			if len(w.order) == 0 {
+				kind = -1
+			}
+			switch o := r.Intn(4); kind {
 			case 0: // a restart
 				w.list(honeyplank.Changes, member(o, w.now))
 			case 1:
@@ -472,3 +481,28 @@
 		}
 	}
 }
+
+// What an instance before this one learnt of a slow server holds from the first op, fades with its age, and is void
+// where the server has started since; what a server has not answered since its start is not handed on.
+func TestLearntBefore(t *testing.T) {
+	for _, c := range []struct {
+		at, started time.Duration
+		out, known  int // how many of eight ops leave at once, and servers handed on after
+	}{{10 * time.Second, 0, 1, 1}, {10 * time.Second, 5 * time.Second, 1, 1}, {10 * time.Second, 10*time.Second + 1, 4, 0},
+		{-20 * time.Second, 0, 4, 1}} {
+		set := figures()
+		set["units.mean"] = 1.0
+		w := newWorld(t, 1, set)
+		w.now = 10 * time.Second
+		w.give(0, honeyplank.Learnt{Usual: 0.02, Servers: []honeyplank.Known{{OSD: "osd0", At: c.at, Best: 0.02, Latency: 0.4}}})
+		w.list(honeyplank.Remembered, member(0, c.started))
+		out := 0
+		for i := range 8 {
+			w.op("a", i, 1, int64(i), 0)
+			out += len(w.order[i].sends)
+		}
+		if l := w.hosts[0].Learnt(); out != c.out || len(l.Servers) != c.known || l.Usual != 0.02 {
+			t.Errorf("learnt at %v, started at %v: %d ops leave at once, want %d; handed on %+v", c.at, c.started, out, c.out, l)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -433,11 +433,12 @@
 	started bool
 	out     []honeyplank.Action
 	osds    map[honeyplank.OSDID]*osd
-	order   []*osd         // by id
-	running int            // how many are listed as on
-	demand  [2]flow        // units taken for data that lies somewhere: inside a reserve, and beyond
-	holders map[int][]*osd // disk servers by the data they hold
-	usual   float64        // recent answer time of all nodes, in seconds
+	known   map[honeyplank.OSDID]honeyplank.Known // from before this instance
+	order   []*osd                                // by id
+	running int                                   // how many are listed as on
+	demand  [2]flow                               // units taken for data that lies somewhere: inside a reserve, and beyond
+	holders map[int][]*osd                        // disk servers by the data they hold
+	usual   float64                               // recent answer time of all nodes, in seconds
 	ops     map[honeyplank.OpID]*op
 	first   *op // of the held ones, in the order taken; also those with no disk server
 	last    *op
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -196,6 +196,7 @@
 	AnswerMargin Span `xml:"answer-margin,attr"`
 	OrderSettle  Span `xml:"order-settle,attr,omitempty"`
 	MeterPeriod  Span `xml:"meter-period,attr,omitempty"`
+	Elsewhere    bool `xml:"meter-elsewhere,attr,omitempty"`
 }
 
 // Limits bound what clients may cost.
@@ -421,7 +422,7 @@
 		"drain.grace": g.Rules.DrainGrace.D(), "answer.grace": time.Duration(0), "order.settle": g.Rules.OrderSettle.D(),
 		"units.largest": float64(g.Units(int64(g.Limits.Transfer))), "units.mean": g.Volumes.Mean,
 		"utility.share": g.Plans.WithinShare, "utility.spare": g.Plans.Spare,
-		"meter.period": g.Rules.MeterPeriod.D(), "meter.elsewhere": true,
+		"meter.period": g.Rules.MeterPeriod.D(), "meter.elsewhere": g.Rules.Elsewhere,
 	}
 	if c := g.Rules.Cold; c != nil {
 		v["cold.from"], v["cold.time"], v["cold.window"] = c.From, c.Time.D(), c.Window.D()
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -159,6 +159,11 @@
 	if v["units.largest"] != 8.0 || v["budget.share"] != 0.25 || v["cold.window"] != time.Second || v["plans.value"].([]float64)[1] != 1 {
 		t.Error("figures", v)
 	}
+	// Disk servers count for other hosts only where the settings say so.
+	told, err := Parse("x.xml", []byte(change(t, example(t), `meter-period="1s"`, `meter-period="1s" meter-elsewhere="true"`)))
+	if err != nil || v["meter.elsewhere"] != false || told.Values()["meter.elsewhere"] != true {
+		t.Error("meter.elsewhere", v["meter.elsewhere"], err)
+	}
 	for bytes, want := range map[int64]int{4096: 0, 32 << 10: 0, 36 << 10: 1, 128 << 10: 1} {
 		if n := g.Type(false, bytes); n != want {
 			t.Errorf("a read of %d bytes is of op type %d, want %d", bytes, n, want)
