By lot a host's part of a cold server counts one and a half times

Sent were 8.5 to 10 units a node and second where 13 to 25 are sure: each host draws lots against its own traffic, and hosts with little can't use their even part. Counted 1.5 times the mean of all comes to what is sure in the worst seconds.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,6 +25,7 @@
 	creditMost       = 2 * floor         // further dispatches; each answer earns one
 	failingTooMuch   = 0.2               // share of errors at which new objects go elsewhere
 	bestForgets      = 1.0 / 256
+	coldSpread       = 1.5 // by lot: what even parts leave unused where hosts have unlike traffic
 	coldMost         = 1.5 // mean ops by lot to a cold server within a window
 	keptOfLimit      = 0.5 // of a limit's store, kept from an op type of no utility
 )
@@ -642,8 +643,9 @@
 
 // coldRoom keeps a disk server that has just started below this host's part of what it always bears. The
 // part grows no faster than the slowest warm-up. Every dispatch of the last window counts. Where many hosts
-// leave a part below a mean op, lots keep the mean of what this host sends within it, reserves first, one or
-// two ops a window. It guards against pushing the server over; were most ops for one, chance would not hold.
+// leave a part below a mean op, lots keep the mean of what hosts send within it, reserves first, one or two ops
+// a window: hosts with little traffic can't use their part, so it is taken as larger. It guards against pushing
+// the server over; were most ops for one, or all hosts alike and only just busy enough, chance would not hold.
 func (s *Scheduler) coldRoom(o *osd, units, lot float64, due bool) bool {
 	window, warm := s.set.coldWindow, s.set.coldTime
 	o.trim(s.now - window)
@@ -658,6 +660,7 @@
 	if used+units <= part || part >= s.set.unitsMean || used > coldMost*s.set.unitsMean {
 		return used+units <= part
 	}
+	part *= coldSpread
 	each := window.Seconds() / float64(max(s.running, 1))
 	first, others := s.demand[0].rate()*each, s.demand[1].rate()*each
 	return due && lot*first < part || lot*others < part-first
