--- a/policy/policy.go
+++ b/policy/policy.go
@@ -266,10 +266,10 @@
 
 // sound tells whether a disk server may be given new objects: not where errors, resets or full queues come
 // back fast, which would otherwise look like room, nor where it is cold or down. It could harm when most
-// servers fail at once.
+// servers fail at once. Cold is one where a middle lot beyond the reserves would not do.
 func (s *Scheduler) sound(o *osd) bool {
 	live := o.health == up || o.health == trial && o.out == 0
-	return live && s.failing(o) < failingTooMuch && s.coldRoom(o, 1, 1, false)
+	return live && s.failing(o) < failingTooMuch && s.coldRoom(o, 1, 0.5, false)
 }
 
 // ---- Slices (iShare) ----
