--- a/policy/policy.go
+++ b/policy/policy.go
@@ -18,7 +18,7 @@
 	idle             = 30 * time.Second  // entries idle for longer are dropped
 	near, past       = 1.5, 2.0          // latency near its best, and far past it
 	sliceOfTarget    = 0.25              // a round of slices lasts this part of the shortest target latency
-	spareOfTarget    = 0.045             // latency that leaves room for ops beyond the reserve
+	spareOfTarget    = 0.04              // latency that leaves room for ops beyond the reserve
 	dueOfTarget      = 0.18              // the same for ops within the reserve
 	sweepOfTarget    = 1.0 / 20          // how often held ops are looked at
 	blending         = 1.0 / 8           // weight of the newest answer in a recent mean
@@ -526,7 +526,7 @@
 		return places
 	}
 	even := past * shortest.Seconds() / (hosts * o.best * s.set.unitsMean)
-	return min(1, max(places*places, even))
+	return min(1, max(places*math.Sqrt(places), even))
 }
 
 // ---- What is due to a volume ----
@@ -643,9 +643,9 @@
 
 // coldRoom keeps a disk server that has just started below this host's part of what it always bears. The
 // part grows no faster than the slowest warm-up. Every dispatch of the last window counts. Where many hosts
-// leave a part below a mean op, lots keep the mean of what hosts send within it, reserves first, one or two ops
-// a window: hosts with little traffic can't use their part, so it is taken as larger. It guards against pushing
-// the server over; were most ops for one, or all hosts alike and only just busy enough, chance would not hold.
+// leave a part below a mean op, lots keep the mean of what hosts send within it, reserves first, one or two
+// ops a window: hosts with little traffic can't use their part, so it is taken as larger. It guards against
+// pushing the server over; were most ops for one, or all hosts alike and just busy enough, it would not hold.
 func (s *Scheduler) coldRoom(o *osd, units, lot float64, due bool) bool {
 	window, warm := s.set.coldWindow, s.set.coldTime
 	o.trim(s.now - window)
