--- a/policy/policy.go
+++ b/policy/policy.go
@@ -434,9 +434,6 @@
 		most := s.places(o, spareOfTarget)
 		if q.volume.reserve >= q.least {
 			most = max(most, s.places(o, dueOfTarget))
-			if q.keys[o.lastKey] > 0 {
-				most = max(past*most, past)
-			}
 		}
 		if float64(o.out) >= most {
 			return true
@@ -476,8 +473,6 @@
 	window := s.places(o, dueOfTarget)
 	if !due {
 		window, excess = s.places(o, spareOfTarget), s.excess(p)
-	} else if p.Keyed && p.Key == o.lastKey { // a run under way reaches the node together
-		window = max(past*window, past)
 	}
 	if o.out > 0 || window >= 1 {
 		return float64(o.out) < window
