A stop keeps what the start had read of servers it never saw; FuzzDecode gets under the checksum

Cause: tried as a new user would: a gateway that is stopped before its list came wrote an empty file over the one it had read, so going back would have started knowing nothing.

--- a/cmd/honeyplank/main.go
+++ b/cmd/honeyplank/main.go
@@ -100,9 +100,10 @@
 	return r
 }
 
-// keep writes the file for the instance to come.
-func (c *serveCommand) keep(g *gateway.Instance, log zerolog.Logger) {
+// keep writes the file for the instance to come, over what this one started with.
+func (c *serveCommand) keep(g *gateway.Instance, before *learnt.Record, log zerolog.Logger) {
 	if r, ok := g.Learnt(); c.Learnt != "" && ok {
+		r.Over(before, time.Now())
 		if err := r.Write(c.Learnt); err != nil {
 			log.Warn().Err(err).Msg("what was learnt is not kept")
 			return
@@ -119,7 +120,8 @@
 	if c.Seed == 0 {
 		c.Seed = time.Now().UnixNano()
 	}
-	g, err := gateway.New(gateway.Options{Settings: s, Seed: c.Seed, Learnt: c.learnt(log), Log: log})
+	before := c.learnt(log)
+	g, err := gateway.New(gateway.Options{Settings: s, Seed: c.Seed, Learnt: before, Log: log})
 	if err != nil {
 		return err
 	}
@@ -134,7 +136,7 @@
 	case <-ctx.Done():
 	}
 	stop() // a second signal ends the process at once
-	c.keep(g, log)
+	c.keep(g, before, log)
 	within, cancel := context.WithTimeout(context.Background(), c.Stop)
 	defer cancel()
 	err = g.Shutdown(within)
--- a/cmd/honeyplank/main_test.go
+++ b/cmd/honeyplank/main_test.go
@@ -261,13 +261,21 @@
 		t.Fatal(err)
 	}
 	file := filepath.Join(t.TempDir(), "learnt")
-	for _, before := range []string{"", "damaged"} {
+	known := &learnt.Record{Unit: 16 << 10, Usual: 0.01, Servers: []learnt.Server{{OSD: "127.0.0.1:9", At: time.Now().UTC(), Best: 0.001, Latency: 0.01}}}
+	sound, err := known.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, before := range []string{"", "damaged", string(sound)} {
 		if os.Remove(file); before != "" {
 			os.WriteFile(file, []byte(before), 0o600)
 		}
-		t.Run("file "+before, func(t *testing.T) { daemon(t, s, 1, "--learnt", file) }) // its end is a stop in order
-		if _, err := learnt.Read(file); err != nil {
+		t.Run(fmt.Sprintf("%.8s", before), func(t *testing.T) { daemon(t, s, 1, "--learnt", file) }) // its end is a stop in order
+		r, err := learnt.Read(file)
+		if err != nil {
 			t.Errorf("after a start with %q and a stop: %v", before, err)
+		} else if n := len(r.Servers); (n == 1) != (before == string(sound)) { // no server was listed
+			t.Errorf("after a start with %q and a stop: %d servers", before, n)
 		}
 	}
 }
--- a/learnt/learnt.go
+++ b/learnt/learnt.go
@@ -35,6 +35,7 @@
 const (
 	magic    = "honeyplank-learnt 1 "
 	sizeMost = 16 << 20
+	oldest   = 24 * time.Hour
 )
 
 var table = crc32.MakeTable(crc32.Castagnoli)
@@ -103,6 +104,29 @@
 	return err
 }
 
+// Over adds what an older record tells of servers that this one does not know, so that a start that never saw them does
+// not lose it; nothing that is older than a day, since servers go for good.
+func (r *Record) Over(old *Record, now time.Time) {
+	if old == nil {
+		return
+	}
+	if r.Usual == 0 {
+		r.Usual = old.Usual
+	}
+	known := map[string]bool{}
+	for _, s := range r.Servers {
+		known[s.OSD] = true
+	}
+	for _, s := range old.Servers {
+		if r.Unit != old.Unit {
+			s.Best = 0
+		}
+		if !known[s.OSD] && now.Sub(s.At) < oldest {
+			r.Servers = append(r.Servers, s)
+		}
+	}
+}
+
 // Of puts what a module knows into a record; at turns its clock into the wall's.
 func Of(l honeyplank.Learnt, unit int64, at func(time.Duration) time.Time) *Record {
 	r := &Record{Unit: unit, Usual: l.Usual}
--- a/learnt/learnt_test.go
+++ b/learnt/learnt_test.go
@@ -1,6 +1,8 @@
 package learnt
 
 import (
+	"fmt"
+	"hash/crc32"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -66,23 +68,47 @@
 	}
 }
 
-// FuzzDecode reads any bytes: no panic, and what is read as sound is written the same.
+// A start that saw no server keeps what was known of them; what it learnt anew, it keeps in its own words.
+func TestOver(t *testing.T) {
+	for _, c := range []struct {
+		now  time.Duration // after the older record's first entry
+		unit int64
+		want []Server
+	}{
+		{time.Hour, 16 << 10, []Server{{"127.0.0.1:5001", time.UnixMilli(9_000_000).UTC(), 0.001, 0.02}, record().Servers[1]}},
+		{time.Hour, 4 << 10, []Server{{"127.0.0.1:5001", time.UnixMilli(9_000_000).UTC(), 0.001, 0.02}, {"127.0.0.1:5002", record().Servers[1].At, 0, 0.3}}},
+		{48 * time.Hour, 16 << 10, []Server{{"127.0.0.1:5001", time.UnixMilli(9_000_000).UTC(), 0.001, 0.02}}},
+	} {
+		r := &Record{Unit: c.unit, Servers: []Server{{"127.0.0.1:5001", time.UnixMilli(9_000_000).UTC(), 0.001, 0.02}}}
+		r.Over(record(), time.UnixMilli(1_000_000).Add(c.now))
+		if !reflect.DeepEqual(r.Servers, c.want) || r.Usual != 0.03 {
+			t.Errorf("%v, unit %d: %+v", c.now, c.unit, r)
+		}
+		r.Over(nil, time.Now())
+	}
+}
+
+// FuzzDecode reads any bytes, as a file and as the content under a right checksum: no panic, and what is read as sound
+// is written and read back the same.
 func FuzzDecode(f *testing.F) {
 	b, _ := record().Encode()
 	f.Add(b)
+	f.Add(b[len(magic)+9:])
 	f.Add([]byte(magic + "00000000\n"))
-	f.Add([]byte(magic + "\n{}"))
+	f.Add([]byte(`{"unit":-1,"usual":1e999,"servers":[{"at":"0001-01-01T00:00:00Z","best":-0}]}`))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		r, err := Decode(b)
-		if err != nil {
-			return
-		}
-		again, err := r.Encode()
-		if err != nil {
-			t.Fatal(err)
-		}
-		if twice, err := Decode(again); err != nil || !reflect.DeepEqual(twice, r) {
-			t.Fatalf("%+v is read back as %+v, %v", r, twice, err)
+		for _, file := range [][]byte{b, append(fmt.Appendf(nil, "%s%08x\n", magic, crc32.Checksum(b, table)), b...)} {
+			r, err := Decode(file)
+			if err != nil {
+				continue
+			}
+			again, err := r.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if twice, err := Decode(again); err != nil || !reflect.DeepEqual(twice, r) {
+				t.Fatalf("%+v is read back as %+v, %v", r, twice, err)
+			}
 		}
 	})
 }
