--- a/cmd/honeyplank/main_test.go
+++ b/cmd/honeyplank/main_test.go
@@ -266,7 +266,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, before := range []string{"", "damaged", string(sound)} {
+	known.Servers[0].At = time.Now().UTC().Add(-48 * time.Hour)
+	stale, _ := known.Encode()
+	for _, before := range []string{"", "damaged", string(sound), string(stale)} {
 		if os.Remove(file); before != "" {
 			os.WriteFile(file, []byte(before), 0o600)
 		}
--- a/learnt/learnt.go
+++ b/learnt/learnt.go
@@ -104,6 +104,22 @@
 	return err
 }
 
+// Sift drops what can't hold any more, before a record is used: servers last heard of more than a day ago, or at a time
+// to come, by which no start could be told to be newer. With none left the usual time goes too. It tells how many went.
+func (r *Record) Sift(now time.Time) (dropped int) {
+	kept := r.Servers[:0]
+	for _, s := range r.Servers {
+		if age := now.Sub(s.At); age >= 0 && age < oldest {
+			kept = append(kept, s)
+		}
+	}
+	dropped = len(r.Servers) - len(kept)
+	if r.Servers = kept; len(kept) == 0 {
+		r.Usual = 0
+	}
+	return dropped
+}
+
 // Over adds what an older record tells of servers that this one does not know, so that a start that never saw them does
 // not lose it; nothing that is older than a day, since servers go for good.
 func (r *Record) Over(old *Record, now time.Time) {
--- a/learnt/learnt_test.go
+++ b/learnt/learnt_test.go
@@ -88,6 +88,16 @@
 	}
 }
 
+// Figures that are too old, or of a time to come, are passed over.
+func TestSift(t *testing.T) {
+	for now, want := range map[time.Duration][2]int{1500 * time.Second: {1, 1}, 2000 * time.Second: {0, 2}, 24*time.Hour + 1500*time.Second: {1, 1}, 48 * time.Hour: {2, 0}} {
+		r := record()
+		if dropped := r.Sift(time.UnixMilli(0).Add(now)); dropped != want[0] || len(r.Servers) != want[1] || (r.Usual > 0) != (want[1] > 0) {
+			t.Errorf("at %v: %d dropped, %+v", now, dropped, r)
+		}
+	}
+}
+
 // FuzzDecode reads any bytes, as a file and as the content under a right checksum: no panic, and what is read as sound
 // is written and read back the same.
 func FuzzDecode(f *testing.F) {
