--- a/cmd/honeyplank/main.go
+++ b/cmd/honeyplank/main.go
@@ -87,7 +87,7 @@
 }
 
 // learnt reads the file of the instance before; without a sound one the start is as any other.
-func (c *serveCommand) learnt(unit int64, log zerolog.Logger) *learnt.Record {
+func (c *serveCommand) learnt(log zerolog.Logger) *learnt.Record {
 	if c.Learnt == "" {
 		return nil
 	}
@@ -96,20 +96,13 @@
 		log.Warn().Err(err).Msg("starting without what was learnt")
 		return nil
 	}
-	if n := r.Sift(time.Now()); n > 0 {
-		log.Warn().Int("osds", n).Msg("what was learnt is passed over: over a day old, or of a time to come")
-	}
-	if r.Unit != unit {
-		log.Warn().Int64("bytes", r.Unit).Int64("now", unit).Msg("best times are passed over: a unit was of another size")
-	}
 	log.Info().Int("osds", len(r.Servers)).Msg("starting with what was learnt")
 	return r
 }
 
-// keep writes the file for the instance to come, over what this one started with.
-func (c *serveCommand) keep(g *gateway.Instance, before *learnt.Record, log zerolog.Logger) {
+// keep writes the file for the instance to come.
+func (c *serveCommand) keep(g *gateway.Instance, log zerolog.Logger) {
 	if r, ok := g.Learnt(); c.Learnt != "" && ok {
-		r.Over(before, time.Now())
 		if err := r.Write(c.Learnt); err != nil {
 			log.Warn().Err(err).Msg("what was learnt is not kept")
 			return
@@ -126,8 +119,7 @@
 	if c.Seed == 0 {
 		c.Seed = time.Now().UnixNano()
 	}
-	before := c.learnt(int64(s.Volumes.Unit), log)
-	g, err := gateway.New(gateway.Options{Settings: s, Seed: c.Seed, Learnt: before, Log: log})
+	g, err := gateway.New(gateway.Options{Settings: s, Seed: c.Seed, Learnt: c.learnt(log), Log: log})
 	if err != nil {
 		return err
 	}
@@ -142,7 +134,7 @@
 	case <-ctx.Done():
 	}
 	stop() // a second signal ends the process at once
-	c.keep(g, before, log)
+	c.keep(g, log)
 	within, cancel := context.WithTimeout(context.Background(), c.Stop)
 	defer cancel()
 	err = g.Shutdown(within)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -198,6 +198,9 @@
 	stop := context.AfterFunc(ctx, func() { g.loop.Post(func() { g.drain(g.loop.Stop) }) })
 	defer stop()
 	if r := g.o.Learnt; r != nil {
+		if unit := int64(g.s.Volumes.Unit); r.Unit != unit {
+			g.log.Warn().Int64("bytes", r.Unit).Int64("now", unit).Msg("best times are passed over: a unit was of another size")
+		}
 		g.loop.Post(func() { g.tell(r.For(int64(g.s.Volumes.Unit), g.loop.Span)) })
 	}
 	// An empty list as last seen starts the module, which asks for the watch.
--- a/learnt/learnt.go
+++ b/learnt/learnt.go
@@ -35,7 +35,6 @@
 const (
 	magic    = "honeyplank-learnt 1 "
 	sizeMost = 16 << 20
-	oldest   = 24 * time.Hour
 )
 
 var table = crc32.MakeTable(crc32.Castagnoli)
@@ -104,45 +103,6 @@
 	return err
 }
 
-// Sift drops what can't hold any more, before a record is used: servers last heard of more than a day ago, or at a time
-// to come, by which no start could be told to be newer. With none left the usual time goes too. It tells how many went.
-func (r *Record) Sift(now time.Time) (dropped int) {
-	kept := r.Servers[:0]
-	for _, s := range r.Servers {
-		if age := now.Sub(s.At); age >= 0 && age < oldest {
-			kept = append(kept, s)
-		}
-	}
-	dropped = len(r.Servers) - len(kept)
-	if r.Servers = kept; len(kept) == 0 {
-		r.Usual = 0
-	}
-	return dropped
-}
-
-// Over adds what an older record tells of servers that this one does not know, so that a start that never saw them does
-// not lose it; nothing that is older than a day, since servers go for good.
-func (r *Record) Over(old *Record, now time.Time) {
-	if old == nil {
-		return
-	}
-	if r.Usual == 0 {
-		r.Usual = old.Usual
-	}
-	known := map[string]bool{}
-	for _, s := range r.Servers {
-		known[s.OSD] = true
-	}
-	for _, s := range old.Servers {
-		if r.Unit != old.Unit {
-			s.Best = 0
-		}
-		if !known[s.OSD] && now.Sub(s.At) < oldest {
-			r.Servers = append(r.Servers, s)
-		}
-	}
-}
-
 // Of puts what a module knows into a record; at turns its clock into the wall's.
 func Of(l honeyplank.Learnt, unit int64, at func(time.Duration) time.Time) *Record {
 	r := &Record{Unit: unit, Usual: l.Usual}
--- a/learnt/learnt_test.go
+++ b/learnt/learnt_test.go
@@ -68,36 +68,6 @@
 	}
 }
 
-// A start that saw no server keeps what was known of them; what it learnt anew, it keeps in its own words.
-func TestOver(t *testing.T) {
-	for _, c := range []struct {
-		now  time.Duration // after the older record's first entry
-		unit int64
-		want []Server
-	}{
-		{time.Hour, 16 << 10, []Server{{"127.0.0.1:5001", time.UnixMilli(9_000_000).UTC(), 0.001, 0.02}, record().Servers[1]}},
-		{time.Hour, 4 << 10, []Server{{"127.0.0.1:5001", time.UnixMilli(9_000_000).UTC(), 0.001, 0.02}, {"127.0.0.1:5002", record().Servers[1].At, 0, 0.3}}},
-		{48 * time.Hour, 16 << 10, []Server{{"127.0.0.1:5001", time.UnixMilli(9_000_000).UTC(), 0.001, 0.02}}},
-	} {
-		r := &Record{Unit: c.unit, Servers: []Server{{"127.0.0.1:5001", time.UnixMilli(9_000_000).UTC(), 0.001, 0.02}}}
-		r.Over(record(), time.UnixMilli(1_000_000).Add(c.now))
-		if !reflect.DeepEqual(r.Servers, c.want) || r.Usual != 0.03 {
-			t.Errorf("%v, unit %d: %+v", c.now, c.unit, r)
-		}
-		r.Over(nil, time.Now())
-	}
-}
-
-// Figures that are too old, or of a time to come, are passed over.
-func TestSift(t *testing.T) {
-	for now, want := range map[time.Duration][2]int{1500 * time.Second: {1, 1}, 2000 * time.Second: {0, 2}, 24*time.Hour + 1500*time.Second: {1, 1}, 48 * time.Hour: {2, 0}} {
-		r := record()
-		if dropped := r.Sift(time.UnixMilli(0).Add(now)); dropped != want[0] || len(r.Servers) != want[1] || (r.Usual > 0) != (want[1] > 0) {
-			t.Errorf("at %v: %d dropped, %+v", now, dropped, r)
-		}
-	}
-}
-
 // FuzzDecode reads any bytes, as a file and as the content under a right checksum: no panic, and what is read as sound
 // is written and read back the same.
 func FuzzDecode(f *testing.F) {
--- a/policy/model_test.go
+++ b/policy/model_test.go
@@ -252,7 +252,7 @@
 		w.acked, t.over = w.acked+count(!t.over), true
 	}
 	w.give(t.host, honeyplank.Outcome{Op: t.ID, Dispatch: n, OSD: d.osd, Code: code, Done: t.over,
-		Elapsed: w.now - d.at, Used: w.rng.Intn(200), Load: map[string]float64{"latency": 30}})
+		Elapsed: w.now - d.at, Used: w.rng.Intn(200), Elsewhere: float64(len(w.order) % 4), Load: map[string]float64{"latency": 30}})
 }
 
 // step moves the clock, fires timers, ends dispatches and looks for ops past their time.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -4,8 +4,11 @@
 package policy
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"math/rand"
+	"slices"
 	"time"
 
 	"honeyplank"
@@ -16,6 +19,7 @@
 	avgA, avgB, avgC = 7.0 / 8, 32, 1024 // the paper's a, b and c
 	floor, ceiling   = 4.0, 32.0         // bounds of the window
 	idle             = 30 * time.Second  // entries idle for longer are dropped
+	learntFor        = 24 * time.Hour    // what an instance before had learnt is dropped after
 	near, past       = 1.5, 2.0          // latency near its best, and far past it
 	sliceOfTarget    = 0.25              // a round of slices lasts this part of the shortest target latency
 	spareOfTarget    = 0.04              // latency that leaves room for ops beyond the reserve
@@ -41,9 +45,12 @@
 	}
 }
 
-// Learnt is what means the same to an instance that comes after: how fast servers are.
+// Learnt is what means the same to an instance that comes after: how fast servers are, seen yet or not.
 func (s *Scheduler) Learnt() honeyplank.Learnt {
 	l := honeyplank.Learnt{Usual: s.usual}
+	for _, id := range slices.Sorted(maps.Keys(s.known)) {
+		l.Servers = append(l.Servers, s.known[id])
+	}
 	for _, o := range s.order {
 		if o.latency > 0 && o.Started <= max(o.told, 0) {
 			l.Servers = append(l.Servers, honeyplank.Known{OSD: o.OSD, At: o.told, Best: o.best, Latency: o.latency})
@@ -82,8 +89,12 @@
 		}
 	case honeyplank.Learnt:
 		s.usual = e.Usual
-		for _, k := range e.Servers {
-			s.known[k.OSD] = k
+		for _, k := range e.Servers { // by a time to come no start could be told to be newer
+			if k.At <= now && now-k.At < learntFor {
+				s.known[k.OSD] = k
+			} else {
+				s.logf("osd %s: what was learnt of it is too old, or of a time to come: passed over", k.OSD)
+			}
 		}
 	case honeyplank.Lapsed:
 		if p := s.ops[e.Op]; p != nil && !p.over {
@@ -94,9 +105,7 @@
 }
 
 func (s *Scheduler) sweepEvery() time.Duration {
-	shortest, _ := s.targets()
-	least := max(s.set.step, time.Millisecond)
-	return max(time.Duration(sweepOfTarget*float64(shortest)), least)
+	return max(time.Duration(sweepOfTarget*float64(s.set.shortest)), s.set.step, time.Millisecond)
 }
 
 // ---- The list of disk servers ----
@@ -129,8 +138,9 @@
 			// What an instance before this one had learnt holds unless the server has started since. It guards
 			// the first seconds after a switch; it could harm where a machine was replaced under one address.
 			if k, ok := s.known[m.OSD]; ok && m.Started <= max(k.At, 0) {
-				o.best, o.latency, o.told = k.Best, k.Latency, min(k.At, s.now)
+				o.best, o.latency, o.told = k.Best, k.Latency, k.At
 			}
+			delete(s.known, m.OSD)
 		}
 		if m.Started > o.Started {
 			s.judge(o, inBorn)
@@ -192,11 +202,11 @@
 }
 
 func narrow(_ *Scheduler, o *osd) { o.window, o.rest = floor, 0 }
+func halve(o *osd)                { o.window = max(floor, o.window/2) }
 
 // lay leaves a disk server alone, longer each time, up to the longest target latency.
 func (s *Scheduler) lay(o *osd) {
-	shortest, longest := s.targets()
-	o.rest = min(max(time.Duration(past*float64(o.rest)), shortest/2), longest)
+	o.rest = min(max(time.Duration(past*float64(o.rest)), s.set.shortest/2), s.set.longest)
 }
 
 // ---- Taking and placing ops ----
@@ -221,11 +231,10 @@
 		s.line(p)
 	}
 	s.open(p)
-	_, longest := s.targets()
-	s.tally(p, s.due(p), 2*longest)
+	s.tally(p, s.due(p), 2*s.set.longest)
 	if s.house(p); p.queue != nil {
 		p.queue.thinkt.gap(s.now, avgA, avgB)
-		p.queue.demand.add(s.now, p.Units, 2*longest)
+		p.queue.demand.add(s.now, p.Units, 2*s.set.longest)
 		s.pump(p.osd)
 	}
 	if !p.over && !p.busy() && s.useless(p) {
@@ -375,18 +384,16 @@
 	s.serve(o, q)
 }
 
-func (s *Scheduler) handOver(o *osd) { s.serve(o, s.cheaper(o)) }
-
 // serve starts a slice: the volumes with held ops share a round of a part of the shortest target latency.
 func (s *Scheduler) serve(o *osd, q *queue) {
-	shortest, _ := s.targets()
-	slice := s.weight(q.volume.plan) * sliceOfTarget * float64(shortest) / float64(max(o.busy(), 1))
+	slice := s.weight(q.volume.plan) * sliceOfTarget * float64(s.set.shortest) / float64(max(o.busy(), 1))
 	o.served, q.round, o.until = q, o.round, s.now+max(time.Duration(slice), s.sweepEvery())
 }
 
-func (s *Scheduler) end(o *osd) { o.served = nil }
-
-func (s *Scheduler) sendOwn(o *osd) { s.send(s.choose(o, o.served), o) }
+func (s *Scheduler) end(o *osd)      { o.served = nil }
+func (s *Scheduler) handOver(o *osd) { s.serve(o, s.cheaper(o)) }
+func (s *Scheduler) sendOwn(o *osd)  { s.send(s.choose(o, o.served), o) }
+func (s *Scheduler) fill(o *osd)     { s.send(s.choose(o, s.next(o)), o) }
 
 // lull begins the wait; what it leaves of the window goes to others at once.
 func (s *Scheduler) lull(o *osd) {
@@ -394,8 +401,6 @@
 	s.fill(o)
 }
 
-func (s *Scheduler) fill(o *osd) { s.send(s.choose(o, s.next(o)), o) }
-
 // choose picks the op of a volume that leaves next: a further dispatch, then the run under way, then the
 // one whose target latency is over first. It returns nil where none may leave now.
 func (s *Scheduler) choose(o *osd, q *queue) *op {
@@ -439,8 +444,7 @@
 			return true
 		}
 	}
-	limited := at(s.set.limit, q.volume.plan) > 0
-	return limited && q.again == 0 && q.volume.limit < q.least
+	return at(s.set.limit, q.volume.plan) > 0 && q.again == 0 && q.volume.limit < q.least
 }
 
 func before(o *osd, p, than *op) bool {
@@ -469,9 +473,8 @@
 	if o.health == down || trying || s.now+s.soonest(o) >= p.Timeout { // or the client would be gone
 		return false
 	}
-	due, excess := s.due(p), 1.0
-	window := s.places(o, dueOfTarget)
-	if !due {
+	window, excess := s.places(o, dueOfTarget), 1.0
+	if !s.due(p) {
 		window, excess = s.places(o, spareOfTarget), s.excess(p)
 	}
 	if o.out > 0 || window >= 1 {
@@ -483,20 +486,19 @@
 // hope is how likely an op with little time left is to be answered in it, roughly. It guards crowded nodes
 // against tries that clients in a hurry give up. It could harm where the latency seen is long past.
 func (s *Scheduler) hope(o *osd, p *op) float64 {
-	left := (min(p.Timeout, p.target) - s.now).Seconds()
-	part := min(1, max(left, 0)/max(s.latency(o), 1e-9))
+	left := max(min(p.Timeout, p.target)-s.now, 0)
+	part := min(1, left.Seconds()/max(s.latency(o), 1e-9))
 	return part * part
 }
 
 // excess is how far a volume asks for more at a node than others do by its weight, as seen by this host: with
 // few ops a host, lots stand for the slices that queues too short would need.
 func (s *Scheduler) excess(p *op) float64 {
-	_, longest := s.targets()
 	usual := s.weight(p.Plan) * s.set.meanRate / float64(p.volume.hosts)
 	if usual <= 0 || p.queue == nil {
 		return 1
 	}
-	return p.queue.demand.near(usual, 2*longest) / usual
+	return p.queue.demand.near(usual, 2*s.set.longest) / usual
 }
 
 // weight is a plan's against the mean.
@@ -511,23 +513,21 @@
 // Below one it falls steeply, but not below the hosts' even parts of what the node serves within the target
 // latency, two at a time: while hosts are few, one op of each always fits.
 func (s *Scheduler) places(o *osd, part float64) float64 {
-	shortest, _ := s.targets()
 	latency, hosts := s.latency(o), float64(max(s.set.hosts, 1))
-	if latency <= 0 || shortest <= 0 {
+	if latency <= 0 || s.set.shortest <= 0 {
 		return o.window
 	}
-	places := o.window * min(1, part*shortest.Seconds()/latency)
+	places := o.window * min(1, part*s.set.shortest.Seconds()/latency)
 	if places >= 1 {
 		return places
 	}
-	even := past * shortest.Seconds() / (hosts * o.best * s.set.unitsMean)
+	even := past * s.set.shortest.Seconds() / (hosts * o.best * s.set.unitsMean)
 	return min(1, max(places*math.Sqrt(places), even))
 }
 
 // ---- What is due to a volume ----
 
-// unsent is since when nothing has left for a volume that has no record: since this host was born, or for as
-// long as idle ones are kept.
+// unsent is since when nothing has left for a volume without a record, as far as is sure.
 func (s *Scheduler) unsent() time.Duration { return max(s.born, s.now-idle) }
 
 // fillUp brings the volume's stores up to now. Of the limit this host counts an even part; of the reserve its
@@ -551,13 +551,7 @@
 }
 
 // memory is how far back a host looks at what a volume is served.
-func (s *Scheduler) memory() time.Duration {
-	if s.set.meterPeriod > 0 {
-		return 2 * s.set.meterPeriod
-	}
-	_, longest := s.targets()
-	return 2 * longest
-}
+func (s *Scheduler) memory() time.Duration { return 2 * cmp.Or(s.set.meterPeriod, s.set.longest) }
 
 // due tells whether an op is inside its volume's reserve, as far as this host's store of it lasts.
 func (s *Scheduler) due(p *op) bool {
@@ -577,27 +571,23 @@
 		return false
 	}
 	due := s.due(p) // brings the stores up to now
-	limited := at(s.set.limit, p.volume.plan) > 0
-	if limited && len(p.sends) == 0 && p.volume.limit < p.Units+s.keeps(p) {
+	if at(s.set.limit, p.volume.plan) > 0 && len(p.sends) == 0 && p.volume.limit < s.keeps(p) {
 		return false
 	}
 	return s.turnOf(p) && s.coldRoom(o, p.Units, p.lot, due)
 }
 
-// keeps is what an op leaves of the limit's store for op types of more utility. It guards against surges of
-// cheap large ops that use up a limit which dearer ones then lack; it could harm where the dearer never come.
+// keeps is what the limit's store must hold for an op to leave: a part stays for op types of more utility,
+// though a full store lets any op go. It guards against surges of cheap large ops that use up a limit which
+// dearer ones then lack; it could harm where the dearer never come.
 func (s *Scheduler) keeps(p *op) float64 {
-	cheap := 1 - at(s.set.utility, p.Type)/max(s.set.dearest, 1e-9)
-	if s.set.dearest <= 0 { // no utilities are told
-		cheap = 0
-	}
-	return keptOfLimit * cheap * at(s.set.burst, p.Plan) / float64(p.volume.hosts)
+	burst, hosts := at(s.set.burst, p.Plan), float64(p.volume.hosts)
+	return max(p.Units, min(p.Units+keptOfLimit*at(s.set.cheap, p.Type)*burst/hosts, burst/hosts))
 }
 
 // repeats tells whether the kind of an op allows another dispatch at this disk server.
 func (s *Scheduler) repeats(p *op, o *osd) bool {
-	kind := at(s.set.kind, p.Type)
-	scope := at(s.set.scope, p.Type)
+	kind, scope := at(s.set.kind, p.Type), at(s.set.scope, p.Type)
 	for _, d := range p.sends {
 		far := scope == honeyplank.ScopeZone && d.osd.Zone != o.Zone ||
 			scope == honeyplank.ScopeCell && d.osd.Cell != o.Cell
@@ -752,13 +742,8 @@
 
 // answer gives an op up at once.
 func (s *Scheduler) answer(p *op) {
-	advice := min(at(s.set.target, p.Type),
-		s.set.adviceMost)
-	if !s.set.advice {
-		advice = 0
-	}
 	if s.harmless(p) {
-		s.act(honeyplank.Throttle{Op: p.ID, RetryAfter: advice})
+		s.act(honeyplank.Throttle{Op: p.ID, RetryAfter: min(at(s.set.target, p.Type), s.set.adviceMost)})
 	} else {
 		s.act(honeyplank.Abort{Op: p.ID})
 	}
@@ -770,8 +755,7 @@
 func (s *Scheduler) measure(o *osd, p *op, e honeyplank.Outcome) {
 	o.credit = min(o.credit+1, creditMost)
 	o.failing -= blending * o.failing
-	s.learn(o, e.Elapsed.Seconds())
-	s.usual = blend(s.usual, e.Elapsed.Seconds(), blending)
+	s.learn(o, e.Elapsed.Seconds(), true)
 	o.perUnit = blend(o.perUnit, e.Elapsed.Seconds()/max(p.Units, 1), blending)
 	if o.best == 0 || o.perUnit < o.best {
 		o.best = o.perUnit
@@ -801,20 +785,22 @@
 func (s *Scheduler) latency(o *osd) float64 {
 	k := &o.known
 	if k.now != s.now || k.told != o.told || k.usual != s.usual || k.latency != o.latency {
-		*k = belief{s.now, o.told, s.usual, o.latency, s.usual + (o.latency-s.usual)*s.fresh(o)}
+		*k = belief{s.now, o.told, s.usual, o.latency, s.usual + (o.latency-s.usual)*s.fade(o.told)}
 	}
 	return k.value
 }
 
-// fresh is what is left of the weight of a node's last answer.
-func (s *Scheduler) fresh(o *osd) float64 {
-	_, longest := s.targets()
-	return math.Exp(-float64(s.now-o.told) / float64(max(longest, s.sweepEvery())))
+// fade is what is left of the weight of what was learnt at a time.
+func (s *Scheduler) fade(at time.Duration) float64 {
+	return math.Exp(-float64(s.now-at) / float64(max(s.set.longest, s.sweepEvery())))
 }
 
-func (s *Scheduler) learn(o *osd, took float64) {
-	o.latency = blend(s.latency(o), took, max(blending, 1-s.fresh(o)))
-	o.told = s.now
+// learn takes in an answer time of a node, and of all where it tells of more than that one.
+func (s *Scheduler) learn(o *osd, took float64, ofAll bool) {
+	o.latency, o.told = blend(s.latency(o), took, max(blending, 1-s.fade(o.told))), s.now
+	if ofAll {
+		s.usual = blend(s.usual, took, blending)
+	}
 }
 
 // soonest is when an answer of a node is worth hoping for: many come in half of their mean time.
@@ -826,18 +812,14 @@
 // that it may be lost rather than late), and a full queue for one past the longest, but only of that node.
 // This guards the rest against a node that turns all away, and could harm where all are full at once.
 func (s *Scheduler) ranOut(o *osd, p *op, e honeyplank.Outcome) {
-	shortest, longest := s.targets()
-	least := min(e.Elapsed, shortest)
+	least := min(e.Elapsed, s.set.shortest)
 	if e.Code == honeyplank.Full {
-		least = longest
+		least = s.set.longest
 		halve(o)
 		s.blame(o, p, e)
 	}
 	if least.Seconds() > s.latency(o) {
-		s.learn(o, least.Seconds())
-		if e.Code != honeyplank.Full {
-			s.usual = blend(s.usual, least.Seconds(), blending)
-		}
+		s.learn(o, least.Seconds(), e.Code != honeyplank.Full)
 	}
 }
 
@@ -848,20 +830,14 @@
 	o.failing, o.blamed = f+blending*(1-f), s.now
 }
 
-func (s *Scheduler) failing(o *osd) float64 {
-	_, longest := s.targets()
-	return o.failing * math.Exp(-float64(s.now-o.blamed)/float64(max(longest, s.sweepEvery())))
-}
-
-func halve(o *osd) { o.window = max(floor, o.window/2) }
+func (s *Scheduler) failing(o *osd) float64 { return o.failing * s.fade(o.blamed) }
 
 // ---- The sweep ----
 
 func (s *Scheduler) sweep() {
 	s.timer(s.now+s.sweepEvery(), "sweep")
-	_, longest := s.targets()
 	for _, o := range s.order {
-		if o.out > 0 && s.now-o.oldest > longest/2 {
+		if o.out > 0 && s.now-o.oldest > s.set.longest/2 {
 			s.judge(o, inLost)
 			o.oldest = s.now
 		}
@@ -877,8 +853,7 @@
 		}
 		p = next
 	}
-	late := s.now-s.asked > s.set.askWithin/2
-	if late && !s.watched && s.set.ask {
+	if s.set.ask && !s.watched && s.now-s.asked > s.set.askWithin/2 {
 		s.ask()
 	}
 	s.tidy(idle)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -32,6 +32,7 @@
 	set["list.ask"], set["list.ask_within"] = r.Intn(2) == 0, time.Second
 	set["throttle.advice"], set["throttle.advice.max"] = r.Intn(2) == 0, 500*ms
 	set["meter.period"] = time.Duration(r.Intn(2)) * time.Second
+	set["meter.elsewhere"] = set["throttle.advice"]
 	odd := []string{"optypes.target_latency", "optypes.utility", "plans.weight", "plans.reserve", "plans.rate",
 		"units.largest", "optypes.kind", "hosts"}
 	for i := range r.Intn(2) * r.Intn(4) { // odd but legal: absent
@@ -443,6 +444,33 @@
 	}
 }
 
+// A volume whose record was dropped as idle has what its store has surely filled by since, not a whole one. A full
+// store lets an op go whose type should leave more than the store can hold.
+func TestLimitAfterIdleness(t *testing.T) {
+	set := figures()
+	set["plans.limit"], set["plans.burst"] = []float64{0.1}, []float64{8}
+	w := newWorld(t, 1, set)
+	w.list(honeyplank.Remembered, member(0, 0))
+	give := func(n int, units float64) int {
+		w.give(0, honeyplank.Op{ID: honeyplank.OpID(fmt.Sprint(n)), Units: units, Type: 1, Timeout: w.now + 5*time.Second, Hosts: 1})
+		return len(w.order[n].sends)
+	}
+	w.now = time.Hour
+	for range 3 { // unseen for long: as much as the time that idle records are kept gives
+		w.give(0, honeyplank.Timer{Name: "sweep"})
+		w.now += time.Minute
+	}
+	if give(0, 4) != 0 || give(1, 1) != 1 {
+		t.Error("a volume met late has not what half a minute gives")
+	}
+	w.now += 3 * time.Minute
+	w.give(0, honeyplank.Timer{Name: "sweep"})
+	w.hosts[0].volumes[0] = &volume{hosts: 1, limit: 8, filled: w.now}
+	if give(2, 7) != 1 {
+		t.Error("a full store does not let an op go")
+	}
+}
+
 // A server that turns ops away or breaks connections gets no new objects for a while, and tells nothing of the others.
 func TestServerThatTurnsAllAway(t *testing.T) {
 	for _, code := range []honeyplank.Code{honeyplank.Full, honeyplank.Reset} {
@@ -493,13 +521,13 @@
 	for _, c := range []struct {
 		at, started time.Duration
 		out, known  int // how many of eight ops leave at once, and servers handed on after
-	}{{10 * time.Second, 0, 1, 1}, {10 * time.Second, 5 * time.Second, 1, 1}, {10 * time.Second, 10*time.Second + 1, 4, 0},
-		{-20 * time.Second, 0, 4, 1}} {
+	}{{10 * time.Second, 0, 1, 2}, {10 * time.Second, 5 * time.Second, 1, 2}, {10 * time.Second, 10*time.Second + 1, 4, 1},
+		{-20 * time.Second, 0, 4, 2}, {11 * time.Second, 0, 4, 1}, {-24 * time.Hour, 0, 4, 1}} { // osd1 is never seen, and is handed on
 		set := figures()
 		set["units.mean"] = 1.0
 		w := newWorld(t, 1, set)
 		w.now = 10 * time.Second
-		w.give(0, honeyplank.Learnt{Usual: 0.02, Servers: []honeyplank.Known{{OSD: "osd0", At: c.at, Best: 0.02, Latency: 0.4}}})
+		w.give(0, honeyplank.Learnt{Usual: 0.02, Servers: []honeyplank.Known{{OSD: "osd0", At: c.at, Best: 0.02, Latency: 0.4}, {OSD: "osd1", At: time.Second, Latency: 0.1}}})
 		w.list(honeyplank.Remembered, member(0, c.started))
 		out := 0
 		for i := range 8 {
--- a/policy/state.go
+++ b/policy/state.go
@@ -214,7 +214,6 @@
 	ask                  bool
 	askWithin            time.Duration
 	target               []time.Duration
-	utility              []float64
 	kind                 []honeyplank.Kind
 	scope                []honeyplank.Scope
 	remember             []time.Duration
@@ -238,13 +237,12 @@
 	coldFrom             float64
 	coldUnits            float64
 	orderSettle          time.Duration
-	advice               bool
-	adviceMost           time.Duration
+	adviceMost           time.Duration // 0: no advice is given
 	budgeted             bool
 	budgetFree           float64
 	meanRate, meanWeight float64
 	shortest, longest    time.Duration // of the target latencies
-	dearest              float64       // of the utilities
+	cheap                []float64     // by op type: what its utility lacks to the greatest, as a part
 }
 
 func read(settings map[string]any) *terms {
@@ -253,7 +251,6 @@
 		ask:          get[bool](settings, "list.ask"),
 		askWithin:    get[time.Duration](settings, "list.ask_within"),
 		target:       get[[]time.Duration](settings, "optypes.target_latency"),
-		utility:      get[[]float64](settings, "optypes.utility"),
 		kind:         get[[]honeyplank.Kind](settings, "optypes.kind"),
 		scope:        get[[]honeyplank.Scope](settings, "optypes.scope"),
 		remember:     get[[]time.Duration](settings, "optypes.remember"),
@@ -277,13 +274,15 @@
 		coldFrom:     get[float64](settings, "cold.from"),
 		coldUnits:    get[float64](settings, "cold.units"),
 		orderSettle:  get[time.Duration](settings, "order.settle"),
-		advice:       get[bool](settings, "throttle.advice"),
-		adviceMost:   get[time.Duration](settings, "throttle.advice.max"),
+	}
+	if get[bool](settings, "throttle.advice") {
+		t.adviceMost = get[time.Duration](settings, "throttle.advice.max")
 	}
 	t.budgetFree, t.budgeted = settings["budget.free"].(float64)
 	t.meanRate, t.meanWeight = mean(t.rate), mean(t.weight)
-	for _, x := range t.utility {
-		t.dearest = max(t.dearest, x)
+	utility := get[[]float64](settings, "optypes.utility")
+	for _, x := range utility {
+		t.cheap = append(t.cheap, 1-x/max(slices.Max(utility), 1e-9))
 	}
 	for i, x := range t.target {
 		if i == 0 || x < t.shortest {
@@ -464,9 +463,6 @@
 	s.act(honeyplank.Log{Text: fmt.Sprintf(format, arguments...)})
 }
 
-// targets are the extremes of the target latencies.
-func (s *Scheduler) targets() (shortest, longest time.Duration) { return s.set.shortest, s.set.longest }
-
 type health int
 
 const (
