One path for the works of honeyplank corpus

Cause: replay, grow, minimise and stats each wrote out finding targets, signals and counting faults. Checked by running replay and stats on one target and on a pattern that is no pattern: the same lines, exits 0 and 2.

--- a/cmd/honeyplank/corpus.go
+++ b/cmd/honeyplank/corpus.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"time"
@@ -29,36 +30,36 @@
 
 var errCorpus = errors.New("an input fails or is not one for its target")
 
-// faults prints what was found wrong and counts it.
-func faults(r corpus.Result, failed *bool) {
-	for _, f := range r.Faults {
-		fmt.Println(f)
-		*failed = true
+// play runs one of the corpus' works over the targets; show prints each result, faults decide how it ends.
+func (c *corpusCommand) play(work func(context.Context, []corpus.Target, func(corpus.Result)) error, show func(corpus.Result)) error {
+	targets, err := c.targets()
+	if err != nil {
+		return err
 	}
-}
-
-func verdict(failed bool) error {
+	ctx, stop := signals()
+	defer stop()
+	failed := false
+	err = work(ctx, targets, func(r corpus.Result) {
+		show(r)
+		for _, f := range r.Faults {
+			fmt.Println(f)
+			failed = true
+		}
+	})
 	if failed {
-		return errCorpus
+		err = errors.Join(err, errCorpus)
 	}
-	return nil
+	return err
 }
 
 type replayCommand struct{}
 
 func (*replayCommand) Run(c *corpusCommand) error {
-	targets, err := c.targets()
-	if err != nil {
-		return err
-	}
-	ctx, stop := signals()
-	defer stop()
-	failed := false
-	err = corpus.Replay(ctx, c.Root, targets, func(r corpus.Result) {
+	return c.play(func(ctx context.Context, targets []corpus.Target, done func(corpus.Result)) error {
+		return corpus.Replay(ctx, c.Root, targets, done)
+	}, func(r corpus.Result) {
 		fmt.Printf("%-28s %5d inputs %8d bytes %8s\n", r.Target, r.Files, r.Bytes, r.Took.Round(10*time.Millisecond))
-		faults(r, &failed)
 	})
-	return errors.Join(err, verdict(failed))
 }
 
 type growCommand struct {
@@ -68,52 +69,34 @@
 }
 
 func (g *growCommand) Run(c *corpusCommand) error {
-	targets, err := c.targets()
-	if err != nil {
-		return err
-	}
-	ctx, stop := signals()
-	defer stop()
-	failed := false
-	err = corpus.Grow(ctx, c.Root, targets, g.Time, g.Workers, g.Most, func(r corpus.Result) {
+	return c.play(func(ctx context.Context, targets []corpus.Target, done func(corpus.Result)) error {
+		return corpus.Grow(ctx, c.Root, targets, g.Time, g.Workers, g.Most, done)
+	}, func(r corpus.Result) {
 		fmt.Printf("%-28s %10d inputs tried in %6s, %4d kept, now %5d\n", r.Target, r.Tried, r.Took.Round(time.Second), len(r.Added), r.Files)
 		if r.Crash != "" {
 			fmt.Printf("a finding, kept as %s; go test -run '%s/%s' ./%s plays it\n", r.Crash, r.Target.Name, r.Crash, r.Target.Package)
 		}
-		faults(r, &failed)
 	})
-	return errors.Join(err, verdict(failed))
 }
 
 type minimiseCommand struct{}
 
 func (*minimiseCommand) Run(c *corpusCommand) error {
-	targets, err := c.targets()
-	if err != nil {
-		return err
-	}
-	ctx, stop := signals()
-	defer stop()
-	failed := false
-	err = corpus.Minimise(ctx, c.Root, targets, func(r corpus.Result) {
+	return c.play(func(ctx context.Context, targets []corpus.Target, done func(corpus.Result)) error {
+		return corpus.Minimise(ctx, c.Root, targets, done)
+	}, func(r corpus.Result) {
 		fmt.Printf("%-28s %5d inputs dropped, %5d stay, %d rewritten; %.1f%% of the package's statements, seeds alone %.1f%%\n",
 			r.Target, len(r.Dropped), r.Files, r.Upgraded, 100*r.Covered, 100*r.Seeds)
-		faults(r, &failed)
 	})
-	return errors.Join(err, verdict(failed))
 }
 
 type statsCommand struct{}
 
 func (*statsCommand) Run(c *corpusCommand) error {
-	targets, err := c.targets()
-	if err != nil {
-		return err
-	}
-	ctx, stop := signals()
-	defer stop()
-	fmt.Printf("%-28s %8s %9s   share of the package's statements: %5s %11s\n", "target", "inputs", "bytes", "seeds", "with corpus")
-	return corpus.Stats(ctx, c.Root, targets, func(r corpus.Result) {
+	return c.play(func(ctx context.Context, targets []corpus.Target, done func(corpus.Result)) error {
+		fmt.Printf("%-28s %8s %9s   share of the package's statements: %5s %11s\n", "target", "inputs", "bytes", "seeds", "with corpus")
+		return corpus.Stats(ctx, c.Root, targets, done)
+	}, func(r corpus.Result) {
 		fmt.Printf("%-28s %8d %9d %42.1f%% %10.1f%%\n", r.Target, r.Files, r.Bytes, 100*r.Seeds, 100*r.Covered)
 	})
 }
