Units that a node served others are counted from any answer, not from acks alone

Cause: read once more, measure took Elsewhere with acks only, though the wire tells it with every response of a disk server and once: an error or a full queue lost what it carried, and the own part of a reserve came out too large. Now in outcome. Checked: TestElsewhereWithAnyAnswer, which fails on the text before.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -698,6 +698,7 @@
 		o.oldest = s.now
 	}
 	s.judge(o, way.says)
+	p.volume.others.add(s.now, e.Elsewhere, s.memory()) // told with any answer, and once
 	if way.effect != nil {
 		way.effect(s, o, p, e)
 	}
@@ -773,7 +774,6 @@
 	q.await.gap(s.now, avgA, avgB)
 	q.lastSeen = s.now
 	p.volume.served.add(s.now, p.Units, s.memory())
-	p.volume.others.add(s.now, e.Elsewhere, s.memory())
 	if e.Used > 0 {
 		p.volume.total = float64(e.Used-1) / 100 * at(s.set.rate, p.Plan)
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -471,6 +471,19 @@
 	}
 }
 
+// What a node served others is told once, also with an error or by a full queue.
+func TestElsewhereWithAnyAnswer(t *testing.T) {
+	w := newWorld(t, 1, figures())
+	w.list(honeyplank.Remembered, member(0, 0))
+	for i, code := range []honeyplank.Code{honeyplank.Acked, honeyplank.Errored, honeyplank.Full} {
+		w.op("a", i, 1, int64(i), 0)
+		w.give(0, honeyplank.Outcome{Op: w.order[i].ID, OSD: "osd0", Code: code, Elsewhere: 5, Done: true})
+		if got := w.hosts[0].volumes[1].others.units; got != float64(5*(i+1)) {
+			t.Errorf("after %d answers: %v units of others", i+1, got)
+		}
+	}
+}
+
 // A server that turns ops away or breaks connections gets no new objects for a while, and tells nothing of the others.
 func TestServerThatTurnsAllAway(t *testing.T) {
 	for _, code := range []honeyplank.Code{honeyplank.Full, honeyplank.Reset} {
