--- a/cmd/honeyplank/main.go
+++ b/cmd/honeyplank/main.go
@@ -30,6 +30,7 @@
 	LogText  bool   `help:"Log lines for people instead of JSON."`
 
 	Serve    serveCommand    `cmd:"" help:"Run a gateway."`
+	Platform platformCommand `cmd:"" help:"Play one scheduler of the operators' platform."`
 	Nodes    nodesCommand    `cmd:"" help:"Tell what a gateway of some settings believes of each disk server, and why."`
 	Settings settingsCommand `cmd:"" help:"Check and show settings."`
 	Rehearse rehearseCommand `cmd:"" help:"Play a bad day on stand-ins and judge the rules."`
--- a/internal/wire/events.go
+++ b/internal/wire/events.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"strings"
 
 	"honeyplank"
 )
@@ -129,8 +130,10 @@
 	return honeyplank.Code(code), nil
 }
 
-// report names the values of a load report, by the simulator's field names
-// less their units.
+// FieldName is the module's name of a value of a load report: the simulator's less its unit.
+func FieldName(f string) string { return strings.TrimSuffix(f, "_ms") }
+
+// report names the values of a load report.
 func report(values []float64, fields []string) map[string]float64 {
 	if len(values) == 0 {
 		return nil
@@ -138,10 +141,7 @@
 	named := map[string]float64{}
 	for i, f := range fields {
 		if i < len(values) {
-			if f == "latency_ms" {
-				f = "latency"
-			}
-			named[f] = values[i]
+			named[FieldName(f)] = values[i]
 		}
 	}
 	return named
--- a/internal/wire/provision.go
+++ b/internal/wire/provision.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"encoding/json"
 	"fmt"
 	"time"
 
@@ -22,8 +23,12 @@
 		Peers         bool    `json:"peer_messages"`
 		Probes        bool    `json:"probes"`
 		RetryAfter    bool    `json:"retry_after"`
+		Keepalive     float64 `json:"keepalive_ms"`
+		Connect       float64 `json:"connect_timeout_ms"`
+		Streams       int     `json:"streams_per_conn"`
 	} `json:"caps"`
 	Classes []struct {
+		Name      string  `json:"name"`
 		Scope     string  `json:"dedup_scope"`
 		GiveUp    float64 `json:"give_up_ms"`
 		LateWorth float64 `json:"late_worth"`
@@ -44,11 +49,14 @@
 		WithinShare  float64 `json:"within_share"`
 		YoungLimit   float64 `json:"young_limit"`
 	} `json:"family_info"`
-	Membership string `json:"membership_mode"`
-	Zone       int    `json:"my_zone"`
-	Ordinal    int    `json:"ordinal"`
-	Peers      int    `json:"peers_total"`
+	Membership string   `json:"membership_mode"`
+	Zone       int      `json:"my_zone"`
+	Ordinal    int      `json:"ordinal"`
+	Peers      int      `json:"peers_total"`
+	Models     []string `json:"models"`
+	Zones      []string `json:"zones"`
 	Plans      []struct {
+		Name    string  `json:"name"`
 		Ceiling float64 `json:"ceiling_rate"`
 		Slack   float64 `json:"limit_slack"`
 		Most    float64 `json:"most_at_once"`
@@ -86,6 +94,41 @@
 	"zone": honeyplank.ScopeZone, "cell": honeyplank.ScopeCell,
 }
 
+// Site is what the settings say, for whoever meets the site elsewhere than on the simulator's wire.
+type Site struct {
+	Values         map[string]any // the module's
+	Fields         []string       // names of the values of a load report
+	OpTypes, Plans []string       // names, in the order of the lists in Values
+	Models, Zones  []string
+	Idle           time.Duration // idle connections are closed after this long
+	ConnectWithin  time.Duration
+	Streams        int // dispatches that one connection carries
+	Ask            bool
+	Probes, Peers  bool
+}
+
+// ReadSite reads the settings as the simulator's first message holds them.
+func ReadSite(raw []byte) (*Site, error) {
+	var f siteFigures
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return nil, err
+	}
+	values, err := f.values()
+	if err != nil {
+		return nil, err
+	}
+	s := &Site{Values: values, Fields: f.Report.Fields, Models: f.Models, Zones: f.Zones, Idle: span(f.Caps.Keepalive),
+		ConnectWithin: span(f.Caps.Connect), Streams: f.Caps.Streams, Ask: f.Membership == "subscribe",
+		Probes: f.Caps.Probes, Peers: f.Caps.Peers}
+	for _, c := range f.Classes {
+		s.OpTypes = append(s.OpTypes, c.Name)
+	}
+	for _, p := range f.Plans {
+		s.Plans = append(s.Plans, p.Name)
+	}
+	return s, nil
+}
+
 // values hands the settings over under our names. Lists run by op type or
 // by plan; budget.* is there only where the site states a budget.
 func (f *siteFigures) values() (map[string]any, error) {
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -377,6 +377,33 @@
 	c.l.AtTime(c.l.Now()+linger, c.Close)
 }
 
+// Drop ends a connection whose bytes are of no use: what is in Out is sent as far as it fits, nothing more is read,
+// and the socket is closed after a time in which the other end can read that. Closed is not called.
+func (c *Conn) Drop(after time.Duration) {
+	if c.ending || c.closed {
+		return
+	}
+	c.ending, c.left = true, nil
+	c.Pause()
+	c.write()
+	if c.Unsent() > 0 && !c.closed {
+		c.half()
+	}
+	c.l.AtTime(c.l.Now()+after, c.Close)
+}
+
+// Quiet tells that nothing has come that was not read, the end of the connection included: what is sent now has
+// the next byte that comes for an answer.
+func (c *Conn) Quiet() bool {
+	if c.closed || c.dialing || len(c.left) > 0 {
+		return false
+	}
+	c.l.Stats.Others.Add(1)
+	var b [1]byte
+	_, _, err := unix.Recvfrom(c.fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return errors.Is(err, unix.EAGAIN)
+}
+
 func (c *Conn) half() {
 	c.l.Stats.Others.Add(1)
 	unix.Shutdown(c.fd, unix.SHUT_WR)
@@ -614,6 +641,9 @@
 	return ""
 }
 
+// shortOfFiles is how long a listener waits for descriptors to be closed.
+const shortOfFiles = 50 * time.Millisecond
+
 // Close stops accepting.
 func (n *Listener) Close() {
 	if !n.closed {
@@ -626,6 +656,15 @@
 	for !n.closed {
 		n.l.Stats.Others.Add(1)
 		fd, from, err := unix.Accept4(n.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		if errors.Is(err, unix.EMFILE) || errors.Is(err, unix.ENFILE) { // who waits would wake the loop all the time
+			n.l.control(unix.EPOLL_CTL_MOD, n.fd, 0)
+			n.l.AtTime(n.l.Now()+shortOfFiles, func() {
+				if !n.closed {
+					n.l.control(unix.EPOLL_CTL_MOD, n.fd, unix.EPOLLIN)
+				}
+			})
+			return
+		}
 		if err != nil {
 			return
 		}
@@ -646,3 +685,47 @@
 		}
 	}
 }
+
+// Packets is a UDP socket.
+type Packets struct {
+	l   *Loop
+	fd  int
+	got func(from netip.AddrPort, b []byte)
+}
+
+// Packets listens for datagrams on an IPv4 address and port; got must not keep b.
+func (l *Loop) Packets(address string, got func(from netip.AddrPort, b []byte)) (*Packets, error) {
+	at, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
+	}
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_DGRAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, err
+	}
+	if err := unix.Bind(fd, sockaddr(at)); err != nil {
+		unix.Close(fd)
+		return nil, &net.OpError{Op: "listen", Net: "udp", Err: err}
+	}
+	p := &Packets{l, fd, got}
+	return p, l.add(fd, unix.EPOLLIN, p)
+}
+
+// Send sends one datagram; one that finds no room is lost, as on the way.
+func (p *Packets) Send(to netip.AddrPort, b []byte) {
+	p.l.Stats.Writes.Add(1)
+	unix.Sendto(p.fd, b, unix.MSG_DONTWAIT, sockaddr(to))
+}
+
+func (p *Packets) ready(uint32) {
+	for range 64 { // then others have their turn
+		p.l.Stats.Reads.Add(1)
+		n, from, err := unix.Recvfrom(p.fd, p.l.in, unix.MSG_DONTWAIT)
+		if err != nil {
+			return
+		}
+		if a, ok := from.(*unix.SockaddrInet4); ok {
+			p.got(netip.AddrPortFrom(netip.AddrFrom4(a.Addr), uint16(a.Port)), p.l.in[:n])
+		}
+	}
+}
