The gateway keeps its ops and dispatches in the books of package ops

Carved out of gateway/ops.go and gateway.go: events in, actions out, one timer and one outcome a dispatch.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,7 +19,7 @@
 	"honeyplank/learnt"
 	"honeyplank/loop"
 	"honeyplank/members"
-	"honeyplank/nvme"
+	"honeyplank/ops"
 	"honeyplank/peers"
 	"honeyplank/policy"
 	"honeyplank/settings"
@@ -27,9 +27,7 @@
 )
 
 // Module makes the decisions: policy.Scheduler, or a baseline to measure against.
-type Module interface {
-	Handle(now time.Duration, event honeyplank.Event) []honeyplank.Action
-}
+type Module = ops.Module
 
 // Tap sees the bytes of one connection, in order; sent tells which way.
 type Tap = func(sent bool, b []byte)
@@ -59,9 +57,7 @@
 	ticker *loop.Timer // for what time alone changes in the book
 	log    zerolog.Logger
 
-	queue   []honeyplank.Event
-	telling bool
-	ops     map[honeyplank.OpID]*op
+	ops     *ops.Book
 	last    uint64
 	disks   map[honeyplank.OSDID]*disk
 	volumes map[uint32]*volume
@@ -69,19 +65,16 @@
 	ending  bool
 	settled func() // called once no op is owed an answer
 	done    chan struct{}
-	counts  Counts
 }
 
 // Counts are what an instance has done so far.
 type Counts struct {
-	Taken, Acked, Throttled, Aborted, Lapsed int
-	Dispatches                               int
-	Open                                     int // ops owed an answer now
-	Out                                      int // dispatches without an outcome now
-	Held                                     int // bytes of write data held now
-	Connections                              int
-	Events                                   int           // told to the module
-	CPU                                      time.Duration // used by the loop
+	ops.Counts
+	Open        int // ops owed an answer now
+	Out         int // dispatches without an outcome now
+	Held        int // bytes of write data held now
+	Connections int
+	CPU         time.Duration // used by the loop
 }
 
 type volume struct {
@@ -110,8 +103,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("gateway: %w", err)
 	}
-	g := &Instance{o: o, s: s, loop: l, log: o.Log, module: o.Module(o.Seed, s.Values()), ops: map[honeyplank.OpID]*op{},
+	g := &Instance{o: o, s: s, loop: l, log: o.Log, module: o.Module(o.Seed, s.Values()),
 		disks: map[honeyplank.OSDID]*disk{}, volumes: map[uint32]*volume{}, done: make(chan struct{})}
+	g.ops = ops.New(l, g.module, sender{g})
+	g.ops.Rest, g.ops.Settled = g.act, g.check
 	offer := target.Offer{Subsystem: s.Listen.Subsystem, Serial: "HP" + strconv.Itoa(s.Scheduler.Ordinal),
 		MaxTransfer: int(s.Limits.Transfer), Capsule: int(s.Limits.Capsule), Piece: int(s.Limits.Piece),
 		Depth: s.Limits.Depth, Queues: 64, Handshake: s.Limits.Handshake.D(), Connections: s.Limits.Connections,
@@ -201,10 +196,10 @@
 		if unit := int64(g.s.Volumes.Unit); r.Unit != unit {
 			g.log.Warn().Int64("bytes", r.Unit).Int64("now", unit).Msg("best times are passed over: a unit was of another size")
 		}
-		g.loop.Post(func() { g.tell(r.For(int64(g.s.Volumes.Unit), g.loop.Span)) })
+		g.loop.Post(func() { g.ops.Tell(r.For(int64(g.s.Volumes.Unit), g.loop.Span)) })
 	}
 	// An empty list as last seen starts the module, which asks for the watch.
-	g.loop.Post(func() { g.tell(honeyplank.List{Kind: honeyplank.Remembered}) })
+	g.loop.Post(func() { g.ops.Tell(honeyplank.List{Kind: honeyplank.Remembered}) })
 	if g.ask != nil {
 		g.ask()
 	}
@@ -230,11 +225,7 @@
 	case <-ctx.Done():
 	}
 	g.loop.Post(func() {
-		for _, p := range g.open() {
-			g.answer(p, nvme.InternalError|nvme.DoNotRetry, 0, nil)
-			g.counts.Aborted++
-			g.tell(honeyplank.Lapsed{Op: p.id})
-		}
+		g.ops.AbortAll()
 	})
 	<-g.done
 	return ctx.Err()
@@ -258,15 +249,9 @@
 func (g *Instance) Counts() (c Counts, ok bool) {
 	answer := make(chan Counts, 1)
 	if !g.loop.Post(func() {
-		c := g.counts
+		c := Counts{Counts: g.ops.Counts, Open: g.ops.Owed(), Out: g.ops.Out()}
 		c.Held, c.Connections = g.server.Buffers.Held, g.server.Connections()
 		c.CPU = g.loop.CPU()
-		for _, p := range g.ops {
-			if !p.over {
-				c.Open++
-			}
-			c.Out += p.live
-		}
 		answer <- c
 	}) {
 		return c, false
@@ -305,7 +290,7 @@
 	}
 	g.ending = true
 	g.server.Shut = true
-	g.log.Info().Int("open", len(g.open())).Msg("no more ops are taken")
+	g.log.Info().Int("open", g.ops.Owed()).Msg("no more ops are taken")
 	g.settled = func() {
 		g.settled = nil
 		if g.etcd != nil {
@@ -322,60 +307,14 @@
 }
 
 func (g *Instance) check() {
-	if g.settled != nil && len(g.open()) == 0 {
+	if g.settled != nil && g.ops.Owed() == 0 {
 		g.settled()
 	}
 }
 
-// open lists the ops that are owed an answer, in the order taken.
-func (g *Instance) open() (list []*op) {
-	for _, p := range g.ops {
-		if !p.over {
-			list = append(list, p)
-		}
-	}
-	slices.SortFunc(list, func(a, b *op) int { return int(a.serial) - int(b.serial) })
-	return list
-}
-
-// tell hands an event to the module and does what it says. What happens meanwhile waits its turn.
-func (g *Instance) tell(e honeyplank.Event) {
-	g.queue = append(g.queue, e)
-	if g.telling {
-		return
-	}
-	g.telling = true
-	for i := 0; i < len(g.queue); i++ { // it may grow meanwhile
-		g.counts.Events++
-		for _, a := range g.module.Handle(g.loop.Now(), g.queue[i]) {
-			g.act(a)
-		}
-		g.queue[i] = nil
-	}
-	g.queue, g.telling = g.queue[:0], false
-	g.check()
-}
-
+// act does what the module says beside ops and timers.
 func (g *Instance) act(action honeyplank.Action) {
 	switch a := action.(type) {
-	case honeyplank.Dispatch:
-		g.dispatch(a)
-	case honeyplank.Throttle:
-		if p := g.owed(a.Op); p != nil {
-			g.counts.Throttled++
-			g.log.Debug().Uint32("volume", p.command.NSID()).Dur("advice_ms", a.RetryAfter).Int("dispatches", len(p.sends)).Msg("throttled")
-			g.answer(p, nvme.CommandInterrupted.WithDelay(g.delay(a.RetryAfter)), uint32(a.RetryAfter/time.Millisecond), nil)
-		}
-	case honeyplank.Abort:
-		if p := g.owed(a.Op); p != nil {
-			g.log.Debug().Uint32("volume", p.command.NSID()).Int("dispatches", len(p.sends)).Msg("aborted")
-			g.counts.Aborted++
-			g.answer(p, nvme.InternalError|nvme.DoNotRetry, 0, nil)
-		}
-	case honeyplank.Cancel:
-		if p := g.ops[a.Op]; p != nil && a.Dispatch >= 0 && a.Dispatch < len(p.sends) {
-			p.sends[a.Dispatch].stop(honeyplank.Cancelled)
-		}
 	case honeyplank.Probe:
 		g.probe(a.OSD)
 	case honeyplank.CloseIdle:
@@ -388,14 +327,12 @@
 		if g.etcd != nil {
 			g.etcd.Watch(a.On)
 		} else if a.On { // DNS has no watch to break: it is asked all the time
-			g.tell(honeyplank.List{Kind: honeyplank.Changes})
+			g.ops.Tell(honeyplank.List{Kind: honeyplank.Changes})
 		}
 	case honeyplank.Fetch:
 		if g.etcd != nil {
 			g.etcd.Fetch()
 		}
-	case honeyplank.SetTimer:
-		g.loop.AtTime(a.At, func() { g.tell(honeyplank.Timer{Name: a.Name}) })
 	}
 }
 
@@ -430,7 +367,7 @@
 		g.log.Warn().Stringer("source", from).Err(n.Err).Msg("the list can't be followed")
 		g.book.Failed(now, from)
 		if from == belief.Etcd {
-			g.tell(honeyplank.List{Kind: honeyplank.Refused})
+			g.ops.Tell(honeyplank.List{Kind: honeyplank.Refused})
 		}
 		return
 	case honeyplank.Whole:
@@ -471,7 +408,7 @@
 					Stringer("etcd", v.Says[belief.Etcd]).Stringer("dns", v.Says[belief.DNS]).Msg("the list of disk servers")
 			}
 		}
-		g.tell(l)
+		g.ops.Tell(l)
 	}
 	g.loop.Cancel(g.ticker)
 	if at := g.book.Next(); at > 0 {
--- a/gateway/ops.go
+++ b/gateway/ops.go
@@ -6,35 +6,16 @@
 
 	"honeyplank"
 	"honeyplank/initiator"
-	"honeyplank/loop"
 	"honeyplank/nvme"
+	"honeyplank/ops"
 	"honeyplank/target"
 )
 
-// op is a client's command that the module has been told of. It stays while a dispatch has no outcome.
+// op is a client's command that the books know of; it is answered through it.
 type op struct {
+	g       *Instance
 	id      honeyplank.OpID
-	serial  uint64
 	command *target.Command
-	timeout time.Duration // clock time by which it must have its answer
-	sends   []*dispatch
-	first   dispatch // the first of sends, which most ops need no more than
-	room    [1]*dispatch
-	live    int  // dispatches without an outcome
-	over    bool // answered, or its client has gone
-}
-
-// dispatch is one sending of an op to a disk server.
-type dispatch struct {
-	g     *Instance
-	op    *op
-	n     int
-	disk  *disk
-	at    time.Duration
-	timer loop.Timer
-	cid   uint16
-	sent  bool
-	done  bool
 }
 
 // disk is the connection to one disk server, made when something is to be sent.
@@ -68,56 +49,46 @@
 	}
 	g.last++
 	v := g.volumes[c.NSID()]
-	p := &op{id: honeyplank.OpID(strconv.FormatUint(g.last, 36)), serial: g.last, command: c, timeout: c.Arrived + g.patience(c)}
+	p := &op{g: g, id: honeyplank.OpID(strconv.FormatUint(g.last, 36)), command: c}
 	c.User = p
-	g.ops[p.id] = p
-	g.counts.Taken++
 	extent := int64(c.SLBA()) * int64(g.s.Volumes.Block) / int64(g.s.Volumes.Extent)
 	write := c.Opcode() == nvme.Write
-	g.tell(honeyplank.Op{
-		ID: p.id, Units: float64(g.s.Units(int64(c.Bytes))), Timeout: p.timeout, Plan: v.plan,
+	g.ops.Take(honeyplank.Op{
+		ID: p.id, Units: float64(g.s.Units(int64(c.Bytes))), Timeout: c.Arrived + g.patience(c), Plan: v.plan,
 		Type: g.s.Type(write, int64(c.Bytes)), Key: int64(c.NSID())<<32 ^ extent, Keyed: true, Write: write,
 		Hosts: v.hosts, Volume: int64(c.NSID()), Cell: v.cells[extent%int64(len(v.cells))],
-	})
+	}, p)
 }
 
-// Lapse tells the module that a client has gone.
+// Lapse tells the books that a client has gone.
 func (g *Instance) Lapse(c *target.Command) {
-	if p, ok := c.User.(*op); ok && !p.over {
-		g.counts.Lapsed++
-		g.close(p)
-		g.tell(honeyplank.Lapsed{Op: p.id})
+	if p, ok := c.User.(*op); ok {
+		p.release()
+		g.ops.Lapse(p.id)
 	}
 }
 
 // Log has no pages of the gateway's own.
 func (g *Instance) Log(uint8) ([]byte, bool) { return nil, false }
 
-// owed is an op that is owed an answer, or nil.
-func (g *Instance) owed(id honeyplank.OpID) *op {
-	if p := g.ops[id]; p != nil && !p.over {
-		return p
-	}
-	return nil
+// The answers of an op.
+
+func (p *op) Acked(data []byte) { p.answer(nvme.Success, 0, data) }
+func (p *op) Aborted()          { p.answer(nvme.InternalError|nvme.DoNotRetry, 0, nil) }
+func (p *op) Throttled(after time.Duration) {
+	p.g.log.Debug().Uint32("volume", p.command.NSID()).Dur("advice_ms", after).Msg("throttled")
+	p.answer(nvme.CommandInterrupted.WithDelay(p.g.delay(after)), uint32(after/time.Millisecond), nil)
 }
 
-func (g *Instance) answer(p *op, status nvme.Status, dw0 uint32, data []byte) {
+func (p *op) answer(status nvme.Status, dw0 uint32, data []byte) {
 	p.command.Complete(status, dw0, 0, data)
-	g.close(p)
+	p.release()
 }
 
-// close ends what is owed for an op.
-func (g *Instance) close(p *op) {
-	p.over = true
-	g.server.Release(p.command.Data)
+// release gives back the data of a Write.
+func (p *op) release() {
+	p.g.server.Release(p.command.Data)
 	p.command.Data = nil
-	g.forget(p)
-}
-
-func (g *Instance) forget(p *op) {
-	if p.over && p.live == 0 {
-		delete(g.ops, p.id)
-	}
 }
 
 // ---- To disk servers ----
@@ -131,36 +102,37 @@
 	return d
 }
 
-// dispatch sends an op as the module says. Each ends as exactly one outcome.
-func (g *Instance) dispatch(a honeyplank.Dispatch) {
-	p := g.ops[a.Op]
-	if p == nil {
-		return
-	}
-	d := g.disk(a.OSD)
-	s := &p.first
-	if len(p.sends) > 0 {
-		s = &dispatch{}
-	} else {
-		p.sends = p.room[:0]
-	}
-	*s = dispatch{g: g, op: p, n: len(p.sends), disk: d, at: g.loop.Now()}
-	p.sends = append(p.sends, s)
-	p.live++
-	g.counts.Dispatches++
-	if p.over || s.at >= p.timeout {
-		s.end(honeyplank.Moot, nvme.Load{})
+// sender carries the dispatches of the books. A dispatch has its disk for Link and its command id for Tag once it
+// has been submitted.
+type sender struct{ *Instance }
+
+func (s sender) Send(d *ops.Dispatch) {
+	k := s.disk(d.OSD)
+	if k.link != nil && k.link.IsReady() {
+		k.submit(d)
 		return
 	}
-	until := p.timeout
-	if a.After > 0 {
-		until = min(until, s.at+a.After)
-	}
-	g.loop.Arm(&s.timer, until, s)
-	if d.link != nil && d.link.IsReady() {
-		s.send(true)
-	} else {
-		d.when(s.send)
+	k.when(func(ready bool) {
+		switch {
+		case d.Ended():
+		case d.Over(): // its client went while the connection was made
+			d.End(honeyplank.Moot, nil, ops.Told{})
+		case !ready:
+			d.End(honeyplank.Unconnected, nil, ops.Told{})
+		default:
+			k.submit(d)
+		}
+	})
+}
+
+func (s sender) Written(d *ops.Dispatch) bool { return d.Link != nil }
+
+func (s sender) Stop(d *ops.Dispatch) {
+	if k, ok := d.Link.(*disk); ok {
+		k.out--
+		if k.link != nil {
+			k.link.IO.Abandon(uint16(d.Tag))
+		}
 	}
 }
 
@@ -206,92 +178,45 @@
 	}
 }
 
-func (s *dispatch) send(ready bool) {
-	if s.done {
-		return
-	}
-	if s.op.over { // its client went while the connection was made
-		s.end(honeyplank.Moot, nvme.Load{})
-		return
-	}
-	if !ready {
-		s.end(honeyplank.Unconnected, nvme.Load{})
-		return
-	}
-	c := s.op.command
+// submit sends a dispatch on a connection that stands.
+func (k *disk) submit(d *ops.Dispatch) {
+	c := d.Client().(*op).command
 	read, data := c.Bytes, c.Data
 	if len(data) > 0 {
 		read = 0
 	}
 	sqe := nvme.NewRW(c.Opcode(), c.NSID(), c.SLBA(), c.Blocks())
-	cid, ok := s.disk.link.IO.Submit(sqe, data, read, s)
+	cid, ok := k.link.IO.Submit(sqe, data, read, (*call)(d))
 	if !ok { // every command id is out there
-		s.end(honeyplank.Unconnected, nvme.Load{})
+		d.End(honeyplank.Unconnected, nil, ops.Told{})
 		return
 	}
-	s.cid, s.sent = cid, true
-	s.disk.out++
+	d.Link, d.Tag = k, uint64(cid)
+	k.out++
 }
 
-// Due ends a dispatch that has had no answer in time.
-func (s *dispatch) Due() {
-	if s.sent {
-		s.stop(honeyplank.TimedOut)
-	} else {
-		s.stop(honeyplank.Unconnected)
-	}
-}
-
-// stop ends the wait for a dispatch. Its answer, should one come, is nobody's.
-func (s *dispatch) stop(code honeyplank.Code) {
-	if s.done {
-		return
-	}
-	if s.sent {
-		s.disk.out--
-		if s.disk.link != nil {
-			s.disk.link.IO.Abandon(s.cid)
-		}
-	}
-	s.end(code, nvme.Load{})
-}
+// call is a dispatch that has been submitted.
+type call ops.Dispatch
 
 // Done is told how the command ended.
-func (s *dispatch) Done(r initiator.Result) {
-	if s.done {
+func (c *call) Done(r initiator.Result) {
+	d := (*ops.Dispatch)(c)
+	if d.Ended() {
 		return
 	}
-	s.disk.out--
-	code, load := honeyplank.Reset, nvme.Load{}
-	if !r.Lost {
-		load = r.Load()
-		switch r.Status().Code() {
-		case nvme.Success:
-			code = honeyplank.Acked
-		case nvme.TurnedAway:
-			code = honeyplank.Full
-		default:
-			code = honeyplank.Errored
-		}
-	}
-	if code == honeyplank.Acked && !s.op.over {
-		s.g.counts.Acked++
-		s.g.answer(s.op, nvme.Success, 0, r.Data)
+	d.Link.(*disk).out--
+	if r.Lost {
+		d.End(honeyplank.Reset, nil, ops.Told{})
+		return
 	}
-	s.end(code, load)
-}
-
-// end tells the module how the dispatch ended, once.
-func (s *dispatch) end(code honeyplank.Code, load nvme.Load) {
-	s.done = true
-	s.g.loop.Cancel(&s.timer)
-	s.op.live--
-	s.g.forget(s.op)
-	e := honeyplank.Outcome{Op: s.op.id, Dispatch: s.n, OSD: s.disk.id, Code: code, Elapsed: s.g.loop.Now() - s.at, Done: s.op.over}
-	if code == honeyplank.Acked || code == honeyplank.Full || code == honeyplank.Errored {
-		e.Used, e.Elsewhere, e.Load = int(load.Used), float64(load.Elsewhere), told(load)
+	code, load := honeyplank.Errored, r.Load()
+	switch r.Status().Code() {
+	case nvme.Success:
+		code = honeyplank.Acked
+	case nvme.TurnedAway:
+		code = honeyplank.Full
 	}
-	s.g.tell(e)
+	d.End(code, r.Data, ops.Told{Used: int(load.Used), Elsewhere: float64(load.Elsewhere), Load: told(load)})
 }
 
 // told names the figures of a load report as the module knows them.
@@ -306,7 +231,7 @@
 func (g *Instance) probe(id honeyplank.OSDID) {
 	d, at := g.disk(id), g.loop.Now()
 	tell := func(code honeyplank.Code, load nvme.Load) {
-		g.tell(honeyplank.Probed{OSD: id, Code: code, Elapsed: g.loop.Now() - at, Load: told(load)})
+		g.ops.Tell(honeyplank.Probed{OSD: id, Code: code, Elapsed: g.loop.Now() - at, Load: told(load)})
 	}
 	d.when(func(ready bool) {
 		sent := ready && d.link.Page(nvme.LogLoad, nvme.LoadLen, initiator.CallFunc(func(r initiator.Result) {
