--- /dev/null
+++ b/ops/ops_test.go
@@ -0,0 +1,297 @@
+package ops
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"honeyplank"
+	"honeyplank/loop"
+)
+
+// world is books between a module, clients and a sender that tests play themselves.
+type world struct {
+	t       *testing.T
+	l       *loop.Loop
+	b       *Book
+	says    func(honeyplank.Event) []honeyplank.Action
+	events  []honeyplank.Event
+	sent    []*Dispatch
+	stopped []*Dispatch
+	written map[*Dispatch]bool
+	send    func(*Dispatch)
+}
+
+type answers struct{ list []string }
+
+func (a *answers) Acked(data []byte) { a.list = append(a.list, "acked "+string(data)) }
+func (a *answers) Throttled(after time.Duration) {
+	a.list = append(a.list, "throttled "+after.String())
+}
+func (a *answers) Aborted() { a.list = append(a.list, "aborted") }
+
+func (w *world) Handle(_ time.Duration, e honeyplank.Event) []honeyplank.Action {
+	w.events = append(w.events, e)
+	return w.says(e)
+}
+
+func (w *world) Send(d *Dispatch) {
+	w.sent = append(w.sent, d)
+	if w.send != nil {
+		w.send(d)
+	}
+}
+func (w *world) Written(d *Dispatch) bool { return w.written[d] }
+func (w *world) Stop(d *Dispatch)         { w.stopped = append(w.stopped, d) }
+
+func start(t *testing.T) *world {
+	l, err := loop.New(time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{t: t, l: l, written: map[*Dispatch]bool{}}
+	w.b = New(l, w, w)
+	// Every op goes out once; what comes back without an ack is aborted.
+	w.says = func(e honeyplank.Event) []honeyplank.Action {
+		switch e := e.(type) {
+		case honeyplank.Op:
+			return []honeyplank.Action{honeyplank.Dispatch{Op: e.ID, OSD: "x"}}
+		case honeyplank.Outcome:
+			if !e.Done {
+				return []honeyplank.Action{honeyplank.Abort{Op: e.Op}}
+			}
+		}
+		return nil
+	}
+	return w
+}
+
+// run runs the loop for a time.
+func (w *world) run(d time.Duration) {
+	w.l.AtTime(w.l.Now()+d, w.l.Stop)
+	if err := w.l.Run(); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+func (w *world) take(id string, within time.Duration) *answers {
+	a := &answers{}
+	if !w.b.Take(honeyplank.Op{ID: honeyplank.OpID(id), Timeout: w.l.Now() + within}, a) {
+		w.t.Fatalf("op %s is not taken", id)
+	}
+	return a
+}
+
+func (w *world) outcomes() (list []honeyplank.Outcome) {
+	for _, e := range w.events {
+		if o, ok := e.(honeyplank.Outcome); ok {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+func same(t *testing.T, a *answers, want ...string) {
+	t.Helper()
+	if fmt.Sprint(a.list) != fmt.Sprint(want) {
+		t.Errorf("answers %v, expected %v", a.list, want)
+	}
+}
+
+// TestFirstAck: the first ack answers; later ends of the same dispatch, and acks of another, answer nothing.
+func TestFirstAck(t *testing.T) {
+	w := start(t)
+	w.says = func(e honeyplank.Event) []honeyplank.Action {
+		if e, ok := e.(honeyplank.Op); ok {
+			return []honeyplank.Action{honeyplank.Dispatch{Op: e.ID, OSD: "x"}, honeyplank.Dispatch{Op: e.ID, OSD: "y"}}
+		}
+		return nil
+	}
+	a := w.take("a", time.Second)
+	w.sent[1].End(honeyplank.Acked, []byte("1"), Told{Used: 3})
+	w.sent[1].End(honeyplank.Reset, nil, Told{})
+	if w.b.Owed() != 0 || w.b.Out() != 1 {
+		t.Errorf("owed %d, out %d", w.b.Owed(), w.b.Out())
+	}
+	w.sent[0].End(honeyplank.Acked, []byte("2"), Told{})
+	same(t, a, "acked 1")
+	got := w.outcomes()
+	if len(got) != 2 || got[0].Dispatch != 1 || got[0].Used != 3 || !got[0].Done || got[1].Dispatch != 0 || !got[1].Done {
+		t.Errorf("%+v", got)
+	}
+	if len(w.b.ops) != 0 {
+		t.Error("an op that is over is kept")
+	}
+}
+
+// TestDue: what has left whole has timed out, what has not never ran; the sender is told either way.
+func TestDue(t *testing.T) {
+	w := start(t)
+	a, b := w.take("a", 20*time.Millisecond), w.take("b", 20*time.Millisecond)
+	w.written[w.sent[0]] = true
+	w.run(60 * time.Millisecond)
+	same(t, a, "aborted")
+	same(t, b, "aborted")
+	got := w.outcomes()
+	if len(got) != 2 || got[0].Code != honeyplank.TimedOut || got[1].Code != honeyplank.Unconnected || len(w.stopped) != 2 {
+		t.Errorf("%+v, %d stopped", got, len(w.stopped))
+	}
+}
+
+// TestAfter: a dispatch's own time-out ends it before the op's.
+func TestAfter(t *testing.T) {
+	w := start(t)
+	w.says = func(e honeyplank.Event) []honeyplank.Action {
+		switch e := e.(type) {
+		case honeyplank.Op:
+			return []honeyplank.Action{honeyplank.Dispatch{Op: e.ID, OSD: "x", After: 10 * time.Millisecond}}
+		case honeyplank.Outcome:
+			return []honeyplank.Action{honeyplank.Throttle{Op: e.Op, RetryAfter: time.Second}}
+		}
+		return nil
+	}
+	a := w.take("a", time.Hour)
+	w.run(40 * time.Millisecond)
+	same(t, a, "throttled 1s")
+}
+
+// TestSameID: an id is refused while its op is owed an answer, or a dispatch of it is out.
+func TestSameID(t *testing.T) {
+	w := start(t)
+	a, again := w.take("a", time.Second), &answers{}
+	if w.b.Take(honeyplank.Op{ID: "a", Timeout: time.Hour}, again) {
+		t.Error("an open id is taken twice")
+	}
+	w.b.Lapse("a")
+	if w.b.Take(honeyplank.Op{ID: "a", Timeout: time.Hour}, again) {
+		t.Error("an id with a dispatch out is taken twice")
+	}
+	w.sent[0].End(honeyplank.Acked, nil, Told{})
+	same(t, a)
+	same(t, again)
+	if !w.b.Take(honeyplank.Op{ID: "a", Timeout: time.Hour}, again) {
+		t.Error("an id that is over is not taken")
+	}
+}
+
+// TestOrder: what happens while the module is told waits its turn.
+func TestOrder(t *testing.T) {
+	w := start(t)
+	w.send = func(d *Dispatch) { d.End(honeyplank.Full, nil, Told{}) }
+	depth, most := 0, 0
+	says := w.says
+	w.says = func(e honeyplank.Event) []honeyplank.Action {
+		depth++
+		most = max(most, depth)
+		defer func() { depth-- }()
+		return says(e)
+	}
+	a := w.take("a", time.Second)
+	same(t, a, "aborted")
+	if most != 1 || len(w.events) != 2 {
+		t.Errorf("%d events, %d at a time", len(w.events), most)
+	}
+}
+
+// TestMoot: an op that is over, or whose time is, is not sent.
+func TestMoot(t *testing.T) {
+	w := start(t)
+	a := w.take("a", 0)
+	same(t, a, "aborted")
+	if got := w.outcomes(); len(got) != 1 || got[0].Code != honeyplank.Moot || len(w.sent) != 0 {
+		t.Errorf("%+v, %d sent", got, len(w.sent))
+	}
+}
+
+func TestAbortAll(t *testing.T) {
+	w := start(t)
+	var order []string
+	for i := range 20 {
+		id := fmt.Sprint(i)
+		w.b.Take(honeyplank.Op{ID: honeyplank.OpID(id), Timeout: time.Hour}, &told{func(string) { order = append(order, id) }})
+	}
+	w.b.AbortAll()
+	if fmt.Sprint(order) != "[0 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 16 17 18 19]" || w.b.Owed() != 0 {
+		t.Errorf("%v, %d owed", order, w.b.Owed())
+	}
+}
+
+type told struct{ f func(string) }
+
+func (a *told) Acked([]byte)            { a.f("acked") }
+func (a *told) Throttled(time.Duration) { a.f("throttled") }
+func (a *told) Aborted()                { a.f("aborted") }
+
+// FuzzBook plays any module and any sender: each op has at most one answer, and one in the end unless it lapsed;
+// each dispatch has one outcome.
+func FuzzBook(f *testing.F) {
+	for seed := range int64(8) {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, seed int64) {
+		rng := rand.New(rand.NewSource(seed))
+		w := start(t)
+		defer w.l.Run()
+		defer w.l.Stop()
+		dispatched, outcomes := 0, map[string]int{}
+		w.says = func(e honeyplank.Event) (out []honeyplank.Action) {
+			if o, ok := e.(honeyplank.Outcome); ok {
+				outcomes[fmt.Sprint(o.Op, o.Dispatch)]++
+			}
+			for range rng.Intn(3) {
+				id := honeyplank.OpID(fmt.Sprint(rng.Intn(30)))
+				switch rng.Intn(5) {
+				case 0, 1:
+					if w.b.ops[id] != nil {
+						dispatched++
+						out = append(out, honeyplank.Dispatch{Op: id, OSD: "x"})
+					}
+				case 2:
+					out = append(out, honeyplank.Throttle{Op: id})
+				case 3:
+					out = append(out, honeyplank.Abort{Op: id})
+				case 4:
+					out = append(out, honeyplank.Cancel{Op: id, Dispatch: rng.Intn(3)})
+				}
+			}
+			return out
+		}
+		answered, lapsed, taken := map[int]int{}, map[int]bool{}, 0
+		for i := range 30 {
+			w.b.Take(honeyplank.Op{ID: honeyplank.OpID(fmt.Sprint(i)), Timeout: time.Hour}, &told{func(string) { answered[i]++ }})
+			taken++
+			if len(w.sent) > 0 && rng.Intn(2) == 0 {
+				w.sent[rng.Intn(len(w.sent))].End(honeyplank.Code(1+rng.Intn(8)), nil, Told{})
+			}
+			if n := rng.Intn(30); n <= i && rng.Intn(4) == 0 {
+				lapsed[n] = lapsed[n] || answered[n] == 0
+				w.b.Lapse(honeyplank.OpID(fmt.Sprint(n)))
+			}
+		}
+		for len(w.sent) > 0 {
+			d := w.sent[0]
+			w.sent = w.sent[1:]
+			d.End(honeyplank.TimedOut, nil, Told{})
+		}
+		w.b.AbortAll()
+		for i := range taken {
+			if want := 1; lapsed[i] {
+				want = 0
+				if answered[i] != want {
+					t.Fatalf("op %d lapsed and has %d answers", i, answered[i])
+				}
+			} else if answered[i] != want {
+				t.Fatalf("op %d has %d answers", i, answered[i])
+			}
+		}
+		for name, n := range outcomes {
+			if n != 1 {
+				t.Fatalf("dispatch %s has %d outcomes", name, n)
+			}
+		}
+		if w.b.Owed() != 0 || len(outcomes) != w.b.Counts.Dispatches {
+			t.Fatalf("%d owed, %d outcomes of %d dispatches", w.b.Owed(), len(outcomes), w.b.Counts.Dispatches)
+		}
+	})
+}
