--- a/ops/ops.go
+++ b/ops/ops.go
@@ -132,6 +132,9 @@
 	}
 	slices.SortFunc(open, func(x, y *op) int { return cmp.Compare(x.serial, y.serial) })
 	for _, p := range open {
+		if p.over { // the module has answered it meanwhile
+			continue
+		}
 		b.Counts.Aborted++
 		b.close(p)
 		p.client.Aborted()
--- a/ops/ops_test.go
+++ b/ops/ops_test.go
@@ -237,7 +237,7 @@
 		dispatched, outcomes := 0, map[string]int{}
 		w.says = func(e honeyplank.Event) (out []honeyplank.Action) {
 			if o, ok := e.(honeyplank.Outcome); ok {
-				outcomes[fmt.Sprint(o.Op, o.Dispatch)]++
+				outcomes[fmt.Sprintf("%s/%d", o.Op, o.Dispatch)]++
 			}
 			for range rng.Intn(3) {
 				id := honeyplank.OpID(fmt.Sprint(rng.Intn(30)))
@@ -269,12 +269,12 @@
 				w.b.Lapse(honeyplank.OpID(fmt.Sprint(n)))
 			}
 		}
+		w.b.AbortAll()
 		for len(w.sent) > 0 {
 			d := w.sent[0]
 			w.sent = w.sent[1:]
 			d.End(honeyplank.TimedOut, nil, Told{})
 		}
-		w.b.AbortAll()
 		for i := range taken {
 			if want := 1; lapsed[i] {
 				want = 0
