Dispatches that others overtake are withdrawn after 8 times the usual answer time

Ruled out: transport, overload, dead servers. At fault: send in policy/policy.go knew no end before the op timeout.

Change: missing withdraws such a dispatch by Cancel, where the settings allow it and the kind is not once-only. TestLostAnswer; FuzzRules plays withdrawals.

--- a/policy/model_test.go
+++ b/policy/model_test.go
@@ -51,6 +51,7 @@
 }
 
 type wentOut struct {
+	withdrawn    bool
 	osd          honeyplank.OSDID
 	at           time.Duration
 	ended, maybe bool
@@ -233,6 +234,13 @@
 			w.answer(a.Op, true)
 		case honeyplank.Abort:
 			w.answer(a.Op, false)
+		case honeyplank.Cancel:
+			t := w.ops[a.Op]
+			if t == nil || a.Dispatch < 0 || a.Dispatch >= len(t.sends) || !get[bool](w.set, "cancel") {
+				w.broken(0, "%s: dispatch %d is withdrawn, which was never made or may not be", a.Op, a.Dispatch)
+			} else if a.Dispatch == len(t.sends)-1 {
+				t.sends[a.Dispatch].withdrawn, w.due[a.Op] = true, w.now
+			}
 		case honeyplank.SetTimer:
 			w.timers[i][a.Name] = a.At
 		}
@@ -269,7 +277,11 @@
 	for _, t := range w.order {
 		n := len(t.sends)
 		if n > 0 && !t.sends[n-1].ended && w.due[t.ID] <= w.now {
-			if code := codes[w.rng.Intn(len(codes))]; w.now < t.Timeout {
+			code := codes[w.rng.Intn(len(codes))]
+			if t.sends[n-1].withdrawn {
+				code = honeyplank.Cancelled
+			}
+			if w.now < t.Timeout {
 				w.end(t, code)
 			} else if !t.begun {
 				w.end(t, honeyplank.TimedOut)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -5,10 +5,7 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
-	"math/rand"
-	"slices"
 	"time"
 
 	"honeyplank"
@@ -32,33 +29,9 @@
 	coldSpread       = 1.5 // by lot: what even parts leave unused where hosts have unlike traffic
 	coldMost         = 1.5 // mean ops by lot to a cold server within a window
 	keptOfLimit      = 0.5 // of a limit's store, kept from an op type of no utility
+	lostAfter        = 8.0 // times the usual answer time, for a dispatch that others overtake
 )
 
-// New makes an instance that knows nothing yet.
-func New(seed int64, settings map[string]any) *Scheduler {
-	return &Scheduler{
-		set: read(settings), rng: rand.New(rand.NewSource(seed)),
-		osds: map[honeyplank.OSDID]*osd{}, ops: map[honeyplank.OpID]*op{},
-		known: map[honeyplank.OSDID]honeyplank.Known{}, volumes: map[int64]*volume{},
-		keys: map[int64]*key{}, holders: map[int][]*osd{},
-		patient: make([]time.Duration, len(get[[]time.Duration](settings, "optypes.op_timeout"))),
-	}
-}
-
-// Learnt is what means the same to an instance that comes after: how fast servers are, seen yet or not.
-func (s *Scheduler) Learnt() honeyplank.Learnt {
-	l := honeyplank.Learnt{Usual: s.usual}
-	for _, id := range slices.Sorted(maps.Keys(s.known)) {
-		l.Servers = append(l.Servers, s.known[id])
-	}
-	for _, o := range s.order {
-		if o.latency > 0 && o.Started <= max(o.told, 0) {
-			l.Servers = append(l.Servers, honeyplank.Known{OSD: o.OSD, At: o.told, Best: o.best, Latency: o.latency})
-		}
-	}
-	return l
-}
-
 // Handle takes one event and returns what is to be done at once.
 func (s *Scheduler) Handle(now time.Duration, event honeyplank.Event) []honeyplank.Action {
 	s.now, s.out = now, nil
@@ -696,6 +669,7 @@
 	o.out--
 	if way.says == inGood {
 		o.oldest = s.now
+		o.overtake(p.sends[e.Dispatch].at, s.now)
 	}
 	s.judge(o, way.says)
 	p.volume.others.add(s.now, e.Elsewhere, s.memory()) // told with any answer, and once
@@ -730,6 +704,21 @@
 	s.answer(p)
 }
 
+// missing withdraws dispatches whose answers seem lost: later ones to the server were answered a while ago, and
+// they are out for far longer than usual there. It guards against answers that never come, which hold places
+// until the op timeout; it could harm where a server leaves some ops for long while it serves others.
+func (s *Scheduler) missing(o *osd) {
+	for i := range o.flying {
+		f := &o.flying[i]
+		usual := time.Duration(max(s.latency(o), o.perUnit*f.op.Units) * float64(time.Second))
+		late := s.now-f.at > lostAfter*usual && s.now-f.passed > usual
+		if late && f.passed > 0 && !f.asked && !f.op.begun && at(s.set.kind, f.op.Type) != honeyplank.OnceOnly {
+			f.asked = true
+			s.act(honeyplank.Cancel{Op: f.op.ID, Dispatch: f.n})
+		}
+	}
+}
+
 // useless tells whether a held op can no longer earn its utility: its target latency would be over before
 // an answer of the usual time there, or the client is about to give up. It guards against late answers that
 // cost a node as much as good ones, whatever fills it; after a short stall it gives up some ops too early.
@@ -844,6 +833,9 @@
 		if o.health == down && s.now-o.since >= o.rest {
 			s.judge(o, inTime)
 		}
+		if s.set.cancel {
+			s.missing(o)
+		}
 	}
 	s.move(s.order)
 	for p := s.first; p != nil; {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -23,6 +23,7 @@
 	set["optypes.ordered"] = []bool{r.Intn(2) == 0, r.Intn(2) == 0}
 	set["optypes.remember"] = []time.Duration{time.Duration(r.Intn(600)) * ms, time.Second}
 	set["dispatches.parallel"], set["dispatches.max"] = r.Intn(2) == 0, r.Intn(5)
+	set["cancel"] = set["dispatches.parallel"]
 	set["hosts"], set["order.settle"] = 1+r.Intn(3), time.Duration(r.Intn(150))*ms
 	if r.Intn(2) == 0 {
 		set["budget.free"], set["budget.share"], set["budget.window"] = float64(r.Intn(3)), 0.1, 500*ms
@@ -552,3 +553,54 @@
 		}
 	}
 }
+
+// TestLostAnswer: an op whose answer does not come, while ops sent later to the same server are answered, is
+// withdrawn long before its op timeout and goes out again in time for its target latency. One that nothing has
+// overtaken, one of a once-only type, and any where withdrawing is not allowed are waited for.
+func TestLostAnswer(t *testing.T) {
+	for _, x := range []struct {
+		name       string
+		change     func(map[string]any)
+		passed     bool
+		dispatches int
+	}{
+		{"overtaken", func(map[string]any) {}, true, 2},
+		{"alone", func(map[string]any) {}, false, 1},
+		{"once-only", func(set map[string]any) {
+			set["optypes.kind"] = []honeyplank.Kind{honeyplank.OnceOnly, honeyplank.OnceOnly}
+		}, true, 1},
+		{"not allowed", func(set map[string]any) { set["cancel"] = false }, true, 1},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			set := figures()
+			set["cancel"] = true
+			x.change(set)
+			w := newWorld(t, 1, set)
+			w.list(honeyplank.Remembered, member(0, 0))
+			answer := func(i int) { // one op that is answered after 5 ms
+				w.op("quick", i, 9, int64(i), 0)
+				w.now += 5 * ms
+				w.end(w.ops[honeyplank.OpID(fmt.Sprint("quick", i))], honeyplank.Acked)
+			}
+			for i := range 10 {
+				answer(i)
+			}
+			w.op("lost", 0, 9, 99, 0)
+			lost := w.ops["lost0"]
+			w.due["lost0"] = lost.Timeout
+			if x.passed {
+				w.now += ms
+				answer(10)
+			}
+			for begun := w.now; w.now < begun+120*ms; {
+				w.step([]honeyplank.Code{honeyplank.Acked})
+				if len(lost.sends) == 1 && !lost.sends[0].withdrawn {
+					w.due["lost0"] = lost.Timeout
+				}
+			}
+			if len(lost.sends) != x.dispatches {
+				t.Errorf("%d dispatches, expected %d", len(lost.sends), x.dispatches)
+			}
+		})
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math"
 	"math/rand"
 	"slices"
@@ -15,6 +16,31 @@
 
 // This file holds records and queues. Nothing here decides.
 
+// New makes an instance that knows nothing yet.
+func New(seed int64, settings map[string]any) *Scheduler {
+	return &Scheduler{
+		set: read(settings), rng: rand.New(rand.NewSource(seed)),
+		osds: map[honeyplank.OSDID]*osd{}, ops: map[honeyplank.OpID]*op{},
+		known: map[honeyplank.OSDID]honeyplank.Known{}, volumes: map[int64]*volume{},
+		keys: map[int64]*key{}, holders: map[int][]*osd{},
+		patient: make([]time.Duration, len(get[[]time.Duration](settings, "optypes.op_timeout"))),
+	}
+}
+
+// Learnt is what means the same to an instance that comes after: how fast servers are, seen yet or not.
+func (s *Scheduler) Learnt() honeyplank.Learnt {
+	l := honeyplank.Learnt{Usual: s.usual}
+	for _, id := range slices.Sorted(maps.Keys(s.known)) {
+		l.Servers = append(l.Servers, s.known[id])
+	}
+	for _, o := range s.order {
+		if o.latency > 0 && o.Started <= max(o.told, 0) {
+			l.Servers = append(l.Servers, honeyplank.Known{OSD: o.OSD, At: o.told, Best: o.best, Latency: o.latency})
+		}
+	}
+	return l
+}
+
 // osd is the one record of a disk server.
 type osd struct {
 	honeyplank.Member
@@ -24,6 +50,7 @@
 	rest    time.Duration // how long it is left alone once down
 	window  float64       // ops of this host that may be out here
 	out     int           // ops of this host that are out here
+	flying  []flight      // those, in the order sent
 	oldest  time.Duration // since when something has been out without any answer
 	latency float64       // recent answer time, in seconds
 	told    time.Duration // when latency last took something in
@@ -75,6 +102,24 @@
 	lastSeen time.Duration
 }
 
+// flight is a dispatch that is out.
+type flight struct {
+	op     *op
+	n      int
+	at     time.Duration
+	passed time.Duration // when a later one was first answered; 0: none was
+	asked  bool          // it was withdrawn, the outcome is to come
+}
+
+// overtake notes that a dispatch of a time was answered.
+func (o *osd) overtake(at, now time.Duration) {
+	for i := range o.flying {
+		if f := &o.flying[i]; f.at < at && f.passed == 0 {
+			f.passed = now
+		}
+	}
+}
+
 // volume counts what is due to a volume through this host.
 type volume struct {
 	plan     int
@@ -228,7 +273,7 @@
 	unitsLargest         float64
 	meterPeriod          time.Duration
 	elsewhere            bool
-	parallel             bool
+	parallel, cancel     bool
 	dispatches           int
 	budgetWindow         time.Duration
 	budgetShare          float64
@@ -266,6 +311,7 @@
 		meterPeriod:  get[time.Duration](settings, "meter.period"),
 		elsewhere:    get[bool](settings, "meter.elsewhere"),
 		parallel:     get[bool](settings, "dispatches.parallel"),
+		cancel:       get[bool](settings, "cancel"),
 		dispatches:   get[int](settings, "dispatches.max"),
 		budgetWindow: get[time.Duration](settings, "budget.window"),
 		budgetShare:  get[float64](settings, "budget.share"),
@@ -668,6 +714,7 @@
 	p.leave()
 	s.release(p)
 	p.osd, p.early = o, false
+	o.flying = append(o.flying, flight{op: p, n: len(p.sends), at: s.now})
 	p.sends = append(p.sends, send{osd: o, at: s.now})
 	o.out++
 	o.log = append(o.log, sent{s.now, p.Units})
@@ -682,6 +729,8 @@
 		return false
 	}
 	p.sends[n].done, p.sends[n].maybe = true, maybe
+	o := p.sends[n].osd
+	o.flying = slices.DeleteFunc(o.flying, func(f flight) bool { return f.op == p && f.n == n })
 	return true
 }
 
