--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,7 +29,9 @@
 	coldSpread       = 1.5 // by lot: what even parts leave unused where hosts have unlike traffic
 	coldMost         = 1.5 // mean ops by lot to a cold server within a window
 	keptOfLimit      = 0.5 // of a limit's store, kept from an op type of no utility
-	lostAfter        = 8.0 // times the usual answer time, for a dispatch that others overtake
+	lostAfter        = 8.0 // times the usual answer time, for a dispatch that others overtake,
+	lostSooner       = 0.5 // and this part of it once a share of dispatches
+	lostOften        = 1.0 / 50
 )
 
 // Handle takes one event and returns what is to be done at once.
@@ -708,12 +710,17 @@
 // they are out for far longer than usual there. It guards against answers that never come, which hold places
 // until the op timeout; it could harm where a server leaves some ops for long while it serves others.
 func (s *Scheduler) missing(o *osd) {
+	times := time.Duration(lostAfter)
+	if s.lost > lostOften {
+		times = lostAfter * lostSooner
+	}
 	for i := range o.flying {
 		f := &o.flying[i]
 		usual := time.Duration(max(s.latency(o), o.perUnit*f.op.Units) * float64(time.Second))
-		late := s.now-f.at > lostAfter*usual && s.now-f.passed > usual
+		late := s.now-f.at > times*usual && s.now-f.passed > usual
 		if late && f.passed > 0 && !f.asked && !f.op.begun && at(s.set.kind, f.op.Type) != honeyplank.OnceOnly {
 			f.asked = true
+			s.lost += blending / 8 * (1 - s.lost)
 			s.act(honeyplank.Cancel{Op: f.op.ID, Dispatch: f.n})
 		}
 	}
@@ -745,6 +752,7 @@
 func (s *Scheduler) measure(o *osd, p *op, e honeyplank.Outcome) {
 	o.credit = min(o.credit+1, creditMost)
 	o.failing -= blending * o.failing
+	s.lost -= blending / 8 * s.lost
 	s.learn(o, e.Elapsed.Seconds(), true)
 	o.perUnit = blend(o.perUnit, e.Elapsed.Seconds()/max(p.Units, 1), blending)
 	if o.best == 0 || o.perUnit < o.best {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -604,3 +604,36 @@
 		})
 	}
 }
+
+// TestLostOften: where answers are lost often, one that others overtake is given up after half of the time.
+func TestLostOften(t *testing.T) {
+	for lost, want := range map[float64]int{0: 1, 0.05: 2} {
+		set := figures()
+		set["cancel"] = true
+		w := newWorld(t, 1, set)
+		w.list(honeyplank.Remembered, member(0, 0))
+		quick := 0
+		answer := func() {
+			w.op("quick", quick, 9, int64(quick), 0)
+			w.now += 5 * ms
+			w.end(w.ops[honeyplank.OpID(fmt.Sprint("quick", quick))], honeyplank.Acked)
+			quick++
+		}
+		for range 10 {
+			answer()
+		}
+		w.hosts[0].lost = lost
+		w.op("lost", 0, 9, 99, 0)
+		w.now += ms
+		for range 6 { // 31 ms, where 5 ms are usual and a sweep comes every 10 ms
+			answer()
+			w.give(0, honeyplank.Timer{Name: "sweep"})
+			if s := w.ops["lost0"]; s.sends[0].withdrawn && !s.sends[0].ended {
+				w.end(s, honeyplank.Cancelled)
+			}
+		}
+		if n := len(w.ops["lost0"].sends); n != want {
+			t.Errorf("a share of %v lost: %d dispatches, expected %d", lost, n, want)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -484,6 +484,7 @@
 	demand  [2]flow                               // units taken for data that lies somewhere: inside a reserve, and beyond
 	holders map[int][]*osd                        // disk servers by the data they hold
 	usual   float64                               // recent answer time of all nodes, in seconds
+	lost    float64                               // recent share of dispatches whose answers seemed lost
 	ops     map[honeyplank.OpID]*op
 	first   *op // of the held ones, in the order taken; also those with no disk server
 	last    *op
