GOMAXPROCS follows the configuration's limit of cores

Asked for by the issue; cores was not read. platform.Papers reads it, cmd/honeyplank sets GOMAXPROCS to it, rounded up.

Module unchanged but for comments.

--- a/cmd/honeyplank/platform.go
+++ b/cmd/honeyplank/platform.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"math"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/debug"
 	"syscall"
 
@@ -31,6 +33,7 @@
 	if err != nil {
 		return invalid{err}
 	}
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(p.Cores))))
 	debug.SetGCPercent(heapGrowth)
 	debug.SetMemoryLimit(int64(heapShare * float64(p.MemoryMB) * (1 << 20)))
 	heard := make(chan os.Signal, 8)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -706,9 +706,9 @@
 	s.answer(p)
 }
 
-// missing withdraws dispatches whose answers seem lost: later ones to the server were answered a while ago, and
-// they are out for far longer than usual there. It guards against answers that never come, which hold places
-// until the op timeout; it could harm where a server leaves some ops for long while it serves others.
+// missing withdraws dispatches whose answers seem lost: later ones to the server were answered a while ago,
+// and they are out for far longer than usual there. It guards against answers that never come, which hold
+// places until the op timeout; it could harm where a server leaves some ops for long while it serves others.
 func (s *Scheduler) missing(o *osd) {
 	times := time.Duration(lostAfter)
 	if s.lost > lostOften {
--- a/policy/state.go
+++ b/policy/state.go
@@ -362,7 +362,9 @@
 func (s *Scheduler) ranking(v *volume, id int64) []*osd {
 	if len(v.ranked) != len(s.order) {
 		v.ranked = append([]*osd(nil), s.order...)
-		sort.SliceStable(v.ranked, func(i, j int) bool { return rank(id, v.ranked[i].OSD) > rank(id, v.ranked[j].OSD) })
+		sort.SliceStable(v.ranked, func(i, j int) bool {
+			return rank(id, v.ranked[i].OSD) > rank(id, v.ranked[j].OSD)
+		})
 	}
 	return v.ranked
 }
@@ -481,7 +483,7 @@
 	known   map[honeyplank.OSDID]honeyplank.Known // from before this instance
 	order   []*osd                                // by id
 	running int                                   // how many are listed as on
-	demand  [2]flow                               // units taken for data that lies somewhere: inside a reserve, and beyond
+	demand  [2]flow                               // units taken for data that lies somewhere: due, and beyond
 	holders map[int][]*osd                        // disk servers by the data they hold
 	usual   float64                               // recent answer time of all nodes, in seconds
 	lost    float64                               // recent share of dispatches whose answers seemed lost
