What has not left for an op that is over is taken back, also from the middle of a connection

The dispatch waits for a connection that comes up late.

At fault: ops.Book.Lapse told the module and left the dispatch with its sender; platform/servers.go link.Opened wrote whatever waited (gateway/ops.go did ask Over there).

TestFirstAck and TestSameID meant dispatches that are out and now say that these have left; what they expect is the same.

--- a/loop/loop.go
+++ b/loop/loop.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/netip"
 	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -314,6 +315,9 @@
 // Unsent is how many bytes of Out wait for the other end to read.
 func (c *Conn) Unsent() int { return len(c.Out) - c.sent }
 
+// Cut takes back bytes of what is unsent: those from one place in it up to another. It must not be used with Bend.
+func (c *Conn) Cut(from, to int) { c.Out = slices.Delete(c.Out, c.sent+from, c.sent+to) }
+
 // Send has Out written at the end of the round.
 func (c *Conn) Send() {
 	if !c.queued && !c.closed && !c.dialing && len(c.Out) > c.sent {
--- a/ops/ops.go
+++ b/ops/ops.go
@@ -119,6 +119,7 @@
 		b.Counts.Lapsed++
 		b.close(p)
 		b.Tell(honeyplank.Lapsed{Op: id})
+		b.recall(p)
 	}
 }
 
@@ -139,6 +140,7 @@
 		b.close(p)
 		p.client.Aborted()
 		b.Tell(honeyplank.Lapsed{Op: p.id})
+		b.recall(p)
 	}
 }
 
@@ -180,12 +182,14 @@
 			b.Counts.Throttled++
 			b.close(p)
 			p.client.Throttled(a.RetryAfter)
+			b.recall(p)
 		}
 	case honeyplank.Abort:
 		if p := b.owe(a.Op); p != nil {
 			b.Counts.Aborted++
 			b.close(p)
 			p.client.Aborted()
+			b.recall(p)
 		}
 	case honeyplank.Cancel:
 		if p := b.ops[a.Op]; p != nil && a.Dispatch >= 0 && a.Dispatch < len(p.sends) {
@@ -213,6 +217,18 @@
 	b.forget(p)
 }
 
+// recall takes back what has not left for an op that is over: a dispatch that waits for a connection, or whose last
+// byte waits to be sent, never ran and is of no use to anybody. It guards against ops that begin at a disk server
+// after their client has gone; it could harm a sender that calls written what has not left, which would lose sight
+// of an op that runs.
+func (b *Book) recall(p *op) {
+	for i := 0; i < len(p.sends); i++ {
+		if d := p.sends[i]; !d.done && !b.to.Written(d) {
+			d.stop(honeyplank.Moot)
+		}
+	}
+}
+
 func (b *Book) forget(p *op) {
 	if p.over && p.live == 0 {
 		delete(b.ops, p.id)
@@ -291,4 +307,7 @@
 	b.forget(p)
 	b.Tell(honeyplank.Outcome{Op: p.id, Dispatch: d.n, OSD: d.OSD, Code: code, Elapsed: b.loop.Now() - d.At, Done: p.over,
 		Used: told.Used, Elsewhere: told.Elsewhere, Load: told.Load})
+	if p.over {
+		b.recall(p)
+	}
 }
--- a/ops/ops_test.go
+++ b/ops/ops_test.go
@@ -109,6 +109,7 @@
 		return nil
 	}
 	a := w.take("a", time.Second)
+	w.written[w.sent[0]], w.written[w.sent[1]] = true, true
 	w.sent[1].End(honeyplank.Acked, []byte("1"), Told{Used: 3})
 	w.sent[1].End(honeyplank.Reset, nil, Told{})
 	if w.b.Owed() != 0 || w.b.Out() != 1 {
@@ -163,6 +164,7 @@
 	if w.b.Take(honeyplank.Op{ID: "a", Timeout: time.Hour}, again) {
 		t.Error("an open id is taken twice")
 	}
+	w.written[w.sent[0]] = true
 	w.b.Lapse("a")
 	if w.b.Take(honeyplank.Op{ID: "a", Timeout: time.Hour}, again) {
 		t.Error("an id with a dispatch out is taken twice")
@@ -175,6 +177,49 @@
 	}
 }
 
+// TestRecalled: once an op is over, by its client's leave, an answer or the end of all, what has not left for it is
+// stopped and told as never sent; what has left is waited for.
+func TestRecalled(t *testing.T) {
+	for name, end := range map[string]func(*world){
+		"leave":     func(w *world) { w.b.Lapse("a") },
+		"ack":       func(w *world) { w.sent[1].End(honeyplank.Acked, nil, Told{}) },
+		"throttled": func(w *world) { w.b.act(honeyplank.Throttle{Op: "a"}) },
+		"aborted":   func(w *world) { w.b.act(honeyplank.Abort{Op: "a"}) },
+		"all":       func(w *world) { w.b.AbortAll() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := start(t)
+			w.says = func(e honeyplank.Event) []honeyplank.Action {
+				if e, ok := e.(honeyplank.Op); ok {
+					d := honeyplank.Dispatch{Op: e.ID, OSD: "x"}
+					return []honeyplank.Action{d, d, d}
+				}
+				return nil
+			}
+			w.take("a", time.Second)
+			w.written[w.sent[0]], w.written[w.sent[1]] = true, true
+			end(w)
+			if len(w.stopped) != 1 || w.stopped[0] != w.sent[2] || !w.sent[2].Ended() {
+				t.Errorf("%d dispatches are stopped", len(w.stopped))
+			}
+			var moot []int
+			for _, o := range w.outcomes() {
+				if o.Code == honeyplank.Moot && o.Done {
+					moot = append(moot, o.Dispatch)
+				}
+			}
+			if fmt.Sprint(moot) != "[2]" {
+				t.Errorf("%v are told as never sent", moot)
+			}
+			w.sent[0].End(honeyplank.Acked, nil, Told{})
+			w.sent[1].End(honeyplank.Acked, nil, Told{})
+			if w.b.Out() != 0 || len(w.b.ops) != 0 {
+				t.Errorf("%d out, %d ops kept", w.b.Out(), len(w.b.ops))
+			}
+		})
+	}
+}
+
 // TestOrder: what happens while the module is told waits its turn.
 func TestOrder(t *testing.T) {
 	w := start(t)
