--- a/loop/loop.go
+++ b/loop/loop.go
@@ -295,6 +295,9 @@
 	Peer netip.Addr
 	// Ended, where set, is called once the socket is closed, by whichever end.
 	Ended func()
+	// HearEnd has Closed told also while the connection is paused, once the other end has ended its sending; what
+	// came before that and was not read is lost.
+	HearEnd bool
 
 	l       *Loop
 	fd      int
@@ -428,6 +431,9 @@
 	if !c.paused && !c.dialing {
 		want |= unix.EPOLLIN
 	}
+	if c.paused && c.HearEnd && !c.ending {
+		want |= unix.EPOLLRDHUP
+	}
 	if c.dialing || c.sent < len(c.Out) && !c.queued {
 		want |= unix.EPOLLOUT
 	}
@@ -452,11 +458,14 @@
 	if events&unix.EPOLLOUT != 0 {
 		c.write()
 	}
-	if events&(unix.EPOLLIN|unix.EPOLLHUP|unix.EPOLLERR) != 0 && !c.closed {
-		if c.paused && events&(unix.EPOLLHUP|unix.EPOLLERR) != 0 {
-			c.fail(unix.ECONNRESET)
-		} else if !c.paused {
+	if events&(unix.EPOLLIN|unix.EPOLLHUP|unix.EPOLLERR|unix.EPOLLRDHUP) != 0 && !c.closed {
+		switch {
+		case !c.paused:
 			c.read()
+		case events&(unix.EPOLLHUP|unix.EPOLLERR) != 0:
+			c.fail(unix.ECONNRESET)
+		case events&unix.EPOLLRDHUP != 0:
+			c.fail(nil)
 		}
 	}
 }
--- a/standin/resp/disk.go
+++ b/standin/resp/disk.go
@@ -23,6 +23,7 @@
 	Spoilt string        // bytes that come instead of an answer; the connection stays open
 	Behind string        // bytes that come right behind an answer
 	Late   string        // bytes that come a moment later
+	Large  string        // the value, instead of one of its own
 	Report string        // the load report; none: null
 	Use    string        // the figures on use; none: null
 }
@@ -192,7 +193,11 @@
 		case f.Spoilt != "":
 			return []byte(f.Spoilt)
 		}
-		out = resp.AppendBulk(resp.AppendArray(nil, 3), Value(args[1], args[2]))
+		value := []byte(f.Large)
+		if f.Large == "" {
+			value = Value(args[1], args[2])
+		}
+		out = resp.AppendBulk(resp.AppendArray(nil, 3), value)
 		for _, text := range []string{f.Use, f.Report} {
 			if text == "" {
 				out = resp.AppendNull(out)
