--- a/cmd/honeyplank/platform.go
+++ b/cmd/honeyplank/platform.go
@@ -33,9 +33,8 @@
 	if err != nil {
 		return invalid{err}
 	}
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(p.Cores))))
 	debug.SetGCPercent(heapGrowth)
-	debug.SetMemoryLimit(int64(heapShare * float64(p.MemoryMB) * (1 << 20)))
+	limit(p)
 	heard := make(chan os.Signal, 8)
 	signal.Notify(heard, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
 	s, err := platform.New(p, log.With().Str("scheduler", p.Name).Logger())
@@ -57,8 +56,15 @@
 			if p, err := platform.Read(c.File); err != nil {
 				log.Error().Err(err).Msg("the configuration stays as it was")
 			} else {
+				limit(p)
 				s.Reload(p)
 			}
 		}
 	}
 }
+
+// limit keeps the process within what the configuration allows it.
+func limit(p *platform.Papers) {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(p.Cores))))
+	debug.SetMemoryLimit(int64(heapShare * float64(p.MemoryMB) * (1 << 20)))
+}
