--- /dev/null
+++ b/policy/cold_test.go
@@ -0,0 +1,165 @@
+package policy
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand"
+	"testing"
+	"time"
+
+	"honeyplank"
+)
+
+// coldFleet is many hosts and one disk server among others that has just started.
+type coldFleet struct {
+	hosts   int
+	always  float64 // mean ops within the window that it always bears
+	ask     float64 // mean ops within the window that clients want of it, in parts of that
+	others  float64 // the same of each other server
+	unlike  bool    // a tenth of the hosts have half of the traffic
+	due     bool    // ops are inside their volumes' reserves
+	retries bool    // what is not served comes again at once, up to three times
+}
+
+// play counts the most that reaches the cold server within any window, against what it bears then and what is put
+// down to chance beyond it. All is simulated.
+func (f coldFleet) play(seed int64) (worst float64, sent int) {
+	const units, window, warm, from, servers = 2.0, 3 * time.Second, 18 * time.Second, 0.21, 20
+	set := figures()
+	set["optypes.target_latency"], set["optypes.op_timeout"] = []time.Duration{200 * ms, 200 * ms}, []time.Duration{1200 * ms, 1200 * ms}
+	set["hosts"], set["units.mean"], set["units.largest"] = f.hosts, units, 6.0
+	set["cold.units"], set["cold.window"], set["cold.time"], set["cold.from"] = f.always*units, window, warm, from
+	set["plans.rate"], set["plans.reserve"] = []float64{1000}, []float64{0}
+	if f.due {
+		set["plans.reserve"] = []float64{1e6}
+	}
+	rng := rand.New(rand.NewSource(seed))
+	var a agenda
+	n := 0
+	add := func(at time.Duration, host int, e honeyplank.Event) {
+		n++
+		heap.Push(&a, due{at, n, hosted{e, host}})
+	}
+	hosts := make([]*Scheduler, f.hosts)
+	var members []honeyplank.Member
+	for i := range servers {
+		members = append(members, member(i, 0))
+	}
+	now, begin := time.Second, 30*time.Second
+	end := begin + warm
+	for i := range hosts {
+		hosts[i] = New(seed+int64(i), set)
+		add(now+time.Duration(rng.Int63n(int64(100*ms))), i, honeyplank.List{Kind: honeyplank.Whole, Members: members})
+		// The cold one comes in the place of another, under an id of its own, and is told within a part of a second.
+		gone, fresh := member(0, 0), member(0, begin)
+		gone.State, fresh.OSD = honeyplank.Gone, "cold"
+		add(begin+time.Duration(rng.Int63n(int64(300*ms))), i, honeyplank.List{Kind: honeyplank.Changes, Members: []honeyplank.Member{gone, fresh}})
+	}
+	pick := func() int {
+		if f.unlike && rng.Intn(2) == 0 {
+			return rng.Intn(max(f.hosts/10, 1))
+		}
+		return rng.Intn(f.hosts)
+	}
+	arrive := func(cell int, rate float64) {
+		for at := now; at < end; {
+			at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+			add(at, pick(), honeyplank.Op{ID: honeyplank.OpID(fmt.Sprint(cell, "/", n)), Units: 1 + float64(rng.Intn(3)),
+				Timeout: at + 1200*ms, Volume: rng.Int63n(50), Cell: cell, Hosts: f.hosts})
+		}
+	}
+	for cell := range servers {
+		rate := f.others
+		if cell == 0 {
+			rate = f.ask
+		}
+		arrive(cell, rate*f.always/window.Seconds())
+	}
+	type open struct {
+		honeyplank.Op
+		sends, tries int
+	}
+	ops := map[honeyplank.OpID]*open{}
+	var log []struct {
+		at    time.Duration
+		units float64
+	}
+	for len(a) > 0 {
+		d := heap.Pop(&a).(due)
+		now = d.at
+		if now >= end {
+			break
+		}
+		h := d.event.(hosted)
+		if op, ok := h.Event.(honeyplank.Op); ok && ops[op.ID] == nil {
+			ops[op.ID] = &open{Op: op}
+		}
+		for _, action := range hosts[h.host].Handle(now, h.Event) {
+			switch x := action.(type) {
+			case honeyplank.Dispatch:
+				op := ops[x.Op]
+				if x.OSD == "cold" {
+					sent++
+					log = append(log, struct {
+						at    time.Duration
+						units float64
+					}{now, op.Units})
+				}
+				took := 20*ms + time.Duration(rng.Int63n(int64(30*ms)))
+				add(now+took, h.host, honeyplank.Outcome{Op: x.Op, Dispatch: op.sends, OSD: x.OSD, Code: honeyplank.Acked, Done: true, Elapsed: took})
+				op.sends++
+			case honeyplank.Throttle:
+				if op := ops[x.Op]; f.retries && op.tries < 3 {
+					again := open{op.Op, 0, op.tries + 1}
+					again.ID = honeyplank.OpID(fmt.Sprint(x.Op, "+"))
+					at := now + time.Duration(rng.Int63n(int64(100*ms)))
+					again.Timeout = at + 1200*ms
+					ops[again.ID] = &again
+					add(at, h.host, again.Op)
+				}
+			case honeyplank.SetTimer:
+				add(x.At, h.host, honeyplank.Timer{Name: x.Name})
+			}
+		}
+	}
+	first, sum := 0, 0.0
+	for _, x := range log {
+		sum += x.units
+		for log[first].at < x.at-window {
+			sum -= log[first].units
+			first++
+		}
+		bears := f.always * min(1, from+(1-from)*float64(x.at-begin)/float64(warm)) / from
+		worst = max(worst, sum/units/(bears+2*math.Sqrt(bears)+2))
+	}
+	return worst, sent
+}
+
+// hosted is an event of one of many hosts.
+type hosted struct {
+	honeyplank.Event
+	host int
+}
+
+// TestColdFleet: whatever a fleet is asked, all hosts together send a disk server that has just started no more than it
+// bears and what is put down to chance: with few and with many hosts, alike and unlike traffic, a hot place, a crowd that
+// comes again, and whatever the others are asked.
+func TestColdFleet(t *testing.T) {
+	for _, f := range []coldFleet{
+		{hosts: 4}, {hosts: 25}, {hosts: 25, unlike: true}, {hosts: 25, due: true}, {hosts: 300}, {hosts: 300, unlike: true}, {hosts: 300, due: true},
+		{hosts: 300, retries: true}, {hosts: 300, unlike: true, due: true, retries: true},
+	} {
+		for _, f.always = range []float64{12, 60, 200} {
+			for _, f.ask = range []float64{1, 2, 6} {
+				for _, f.others = range []float64{0.2, 1} {
+					worst, sent := f.play(1)
+					t.Logf("%+v: %.2f, %d sent", f, worst, sent)
+					if worst > 1 {
+						t.Errorf("%+v: %.2f times what it bears", f, worst)
+					}
+				}
+			}
+		}
+	}
+}
