The cold part holds for the fleet: lots go by what is asked of that very server, below the part

At fault, policy/policy.go coldRoom: the chance was one and a half times the part (coldSpread) over what a mean node is asked (demand / running), so a hot place was given as many lots as any other; and new objects were not counted (state.go, tally).

Mend: the chance is seven eighths of the part over what this host is asked of what that server holds, or of a mean one where that is more.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -26,11 +26,11 @@
 	creditMost       = 2 * floor         // further dispatches; each answer earns one
 	failingTooMuch   = 0.2               // share of errors at which new objects go elsewhere
 	bestForgets      = 1.0 / 256
-	coldSpread       = 1.5 // by lot: what even parts leave unused where hosts have unlike traffic
-	coldMost         = 1.5 // mean ops by lot to a cold server within a window
-	keptOfLimit      = 0.5 // of a limit's store, kept from an op type of no utility
-	lostAfter        = 8.0 // times the usual answer time, for a dispatch that others overtake,
-	lostSooner       = 0.5 // and this part of it once a share of dispatches
+	coldSpread       = 7.0 / 8 // by lot: the mean of what is sent, of the part; chance does the rest
+	coldMost         = 1.5     // mean ops by lot to a cold server within a window
+	keptOfLimit      = 0.5     // of a limit's store, kept from an op type of no utility
+	lostAfter        = 8.0     // times the usual answer time, for a dispatch that others overtake,
+	lostSooner       = 0.5     // and this part of it once a share of dispatches
 	lostOften        = 1.0 / 50
 )
 
@@ -603,9 +603,10 @@
 
 // coldRoom keeps a disk server that has just started below this host's part of what it always bears. The
 // part grows no faster than the slowest warm-up. Every dispatch of the last window counts. Where many hosts
-// leave a part below a mean op, lots keep the mean of what hosts send within it, reserves first, one or two
-// ops a window: hosts with little traffic can't use their part, so it is taken as larger. It guards against
-// pushing the server over; were most ops for one, or all hosts alike and just busy enough, it would not hold.
+// leave a part below a mean op, lots keep the mean of what hosts send below it, reserves first, one or two ops
+// a window: against what this host is asked of that server, or of a mean one if that is more, since a hot place
+// would take most of a fleet's ops. It guards against pushing the server over; it could harm service where
+// hosts with little traffic can't use their parts, and would not hold where a place grows hot in that moment.
 func (s *Scheduler) coldRoom(o *osd, units, lot float64, due bool) bool {
 	window, warm := s.set.coldWindow, s.set.coldTime
 	o.trim(s.now - window)
@@ -621,8 +622,7 @@
 		return used+units <= part
 	}
 	part *= coldSpread
-	each := window.Seconds() / float64(max(s.running, 1))
-	first, others := s.demand[0].rate()*each, s.demand[1].rate()*each
+	first, others := s.wanted(o, window)
 	return due && lot*first < part || lot*others < part-first
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -22,7 +22,7 @@
 		set: read(settings), rng: rand.New(rand.NewSource(seed)),
 		osds: map[honeyplank.OSDID]*osd{}, ops: map[honeyplank.OpID]*op{},
 		known: map[honeyplank.OSDID]honeyplank.Known{}, volumes: map[int64]*volume{},
-		keys: map[int64]*key{}, holders: map[int][]*osd{},
+		keys: map[int64]*key{}, holders: map[int][]*osd{}, byCell: map[int]*[2]flow{},
 		patient: make([]time.Duration, len(get[[]time.Duration](settings, "optypes.op_timeout"))),
 	}
 }
@@ -483,7 +483,8 @@
 	known   map[honeyplank.OSDID]honeyplank.Known // from before this instance
 	order   []*osd                                // by id
 	running int                                   // how many are listed as on
-	demand  [2]flow                               // units taken for data that lies somewhere: due, and beyond
+	demand  [2]flow                               // units taken: due, and beyond
+	byCell  map[int]*[2]flow                      // the same by where the data lies
 	holders map[int][]*osd                        // disk servers by the data they hold
 	usual   float64                               // recent answer time of all nodes, in seconds
 	lost    float64                               // recent share of dispatches whose answers seemed lost
@@ -596,6 +597,11 @@
 			delete(s.volumes, id)
 		}
 	}
+	for cell, f := range s.byCell {
+		if s.now-f[0].last >= idle {
+			delete(s.byCell, cell)
+		}
+	}
 	for id, k := range s.keys {
 		if len(k.ops) == 0 && s.now >= k.rest {
 			delete(s.keys, id)
@@ -687,10 +693,12 @@
 	}
 }
 
-// tally notes the units of an op whose data lies somewhere.
+// tally notes the units of an op, and where its data lies.
 func (s *Scheduler) tally(p *op, due bool, memory time.Duration) {
-	if p.Cell == honeyplank.NewObject {
-		return
+	here := s.byCell[p.Cell]
+	if here == nil {
+		here = &[2]flow{}
+		s.byCell[p.Cell] = here
 	}
 	units := [2]float64{0, p.Units}
 	if due {
@@ -698,7 +706,23 @@
 	}
 	for i := range s.demand {
 		s.demand[i].add(s.now, units[i], memory)
+		here[i].add(s.now, units[i], 8*memory)
+	}
+}
+
+// wanted is how many units this host is asked of a node within a window, due and beyond: of a mean one, or of what this
+// one holds where that is more.
+func (s *Scheduler) wanted(o *osd, window time.Duration) (first, others float64) {
+	var units [2]float64
+	for i := range units {
+		usual := s.demand[i].rate() / float64(max(s.running, 1))
+		units[i] = usual
+		if here := s.byCell[o.Cell]; here != nil && here[i].time > 0 {
+			units[i] = max(usual, here[i].rate())
+		}
+		units[i] *= window.Seconds()
 	}
+	return units[0], units[1]
 }
 
 // line puts an op at the end of its key's line.
