--- a/loop/loop.go
+++ b/loop/loop.go
@@ -310,7 +310,8 @@
 	paused  bool
 	queued  bool
 	closed  bool
-	ending  bool // close once Out is sent
+	ending  bool          // close once Out is sent
+	last    time.Duration // from then until the close, after Drop
 }
 
 func (c *Conn) Loop() *Loop { return c.l }
@@ -384,19 +385,16 @@
 	c.l.AtTime(c.l.Now()+linger, c.Close)
 }
 
-// Drop ends a connection whose bytes are of no use: what is in Out is sent as far as it fits, nothing more is read,
-// and the socket is closed after a time in which the other end can read that. Closed is not called.
+// Drop ends a connection whose bytes are of no use: what is in Out is sent, nothing more is read, and the socket is
+// closed after a time in which the other end can read that, or a second later where it does not. Closed is not called.
 func (c *Conn) Drop(after time.Duration) {
 	if c.ending || c.closed {
 		return
 	}
-	c.ending, c.left = true, nil
+	c.ending, c.left, c.last = true, nil, after
 	c.Pause()
 	c.write()
-	if c.Unsent() > 0 && !c.closed {
-		c.half()
-	}
-	c.l.AtTime(c.l.Now()+after, c.Close)
+	c.l.AtTime(c.l.Now()+linger+after, c.Close)
 }
 
 // Quiet tells that nothing has come that was not read, the end of the connection included: what is sent now has
@@ -564,6 +562,10 @@
 		if c.ending {
 			c.half()
 		}
+		if c.last > 0 {
+			c.l.AtTime(c.l.Now()+c.last, c.Close)
+			c.last = 0
+		}
 	case c.sent > readSize:
 		c.Out = append(c.Out[:0], c.Out[c.sent:]...)
 		c.bent, c.sent = max(0, c.bent-c.sent), 0
