--- a/standin/resp/disk.go
+++ b/standin/resp/disk.go
@@ -20,6 +20,7 @@
 	Busy   bool          // -BUSY
 	Silent bool          // nothing comes back
 	Break  bool          // the connection breaks once a command has come
+	Half   bool          // so it does within an answer
 	Spoilt string        // bytes that come instead of an answer; the connection stays open
 	Behind string        // bytes that come right behind an answer
 	Late   string        // bytes that come a moment later
@@ -229,6 +230,11 @@
 
 // ready sends what is ready, in the order of commands.
 func (c *conn) ready(n int, answer []byte) {
+	if c.d.now().Half {
+		c.c.Out = append(c.c.Out, answer[:len(answer)/2]...)
+		c.c.Finish()
+		return
+	}
 	c.due[n-c.base] = answer
 	for len(c.due) > 0 && c.due[0] != nil {
 		c.c.Out = append(c.c.Out, c.due[0]...)
