--- a/loop/loop.go
+++ b/loop/loop.go
@@ -362,8 +362,11 @@
 	}
 }
 
-// linger is how long Finish waits for an end that does not read or does not close.
-const linger = time.Second
+// linger is how long Finish waits for an end that does not close once all is sent, unread for one that does not read.
+const (
+	linger = time.Second
+	unread = 10 * time.Second
+)
 
 // Finish ends the connection in order: what is in Out is sent, then no more, and the socket is closed once the
 // other end has closed too, or a second has passed. Closing at once would have the kernel answer what still
@@ -376,13 +379,10 @@
 		c.Close()
 		return
 	}
-	c.ending, c.left = true, nil
+	c.ending, c.left, c.last = true, nil, linger
 	c.Resume()
-	c.Send()
-	if c.Unsent() == 0 {
-		c.half()
-	}
-	c.l.AtTime(c.l.Now()+linger, c.Close)
+	c.write()
+	c.l.AtTime(c.l.Now()+unread, c.Close)
 }
 
 // Drop ends a connection whose bytes are of no use: what is in Out is sent, nothing more is read, and the socket is
