--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,7 +22,8 @@
 
 // cases are the cases by name. Each returns the violations that it has seen.
 var cases = map[string]func(*world) ([]string, error){
-	"term": pipelineAtShutdown,
+	"term":  pipelineAtShutdown,
+	"flood": memoryUnderFlood,
 }
 
 func main() {
