Review case 3: a write begins 160 ms after its client has gone

A disk server stands still for 200 ms, and the client of a 64 KiB write leaves 40 ms after it has sent it. What this machine's kernel has accepted is not taken back, so the rest arrives when the disk server goes on, and the write begins 160 ms after the close; 100 ms are allowed. ClientGone leads to no Cancel (inflight/tracker.go, policy/engine.go).

--- a/review/cases_test.go
+++ b/review/cases_test.go
@@ -31,3 +31,5 @@
 func BenchmarkReviewCase1(b *testing.B) { runScript(b, "1/run.sh") }
 
 func BenchmarkReviewCase2(b *testing.B) { runScript(b, "2/run.sh") }
+
+func BenchmarkReviewCase3(b *testing.B) { runScript(b, "3/run.sh") }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(*world) ([]string, error){
 	"term":  pipelineAtShutdown,
 	"flood": memoryUnderFlood,
+	"gone":  clientGone,
 }
 
 func main() {
