--- a/review/standin/flood.go
+++ b/review/standin/flood.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// badClients is the number of connections of bad clients. Clients hold at most a third of the 1,024 descriptors.
-	badClients = 250
+	// badClients is the number of connections of bad clients. Clients hold at most a third of the 512 descriptors.
+	badClients = 60
 	// badCommands is the number of commands that each of them sends at once.
 	badCommands = 200
 	// floodTime is the time for which the case watches the scheduler after the bad clients have connected.
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -92,10 +92,10 @@
 	process *process
 }
 
-// limits of a scheduler, as on the days that count.
+// limits of a scheduler, within those of the pages: 32 to 192 MB and 256 to 1,024 descriptors.
 const (
-	memoryMB = 192
-	sockets  = 1024
+	memoryMB = 64
+	sockets  = 512
 )
 
 // startScheduler starts a scheduler with the command of the deploy file and waits until it answers PING. discovery is
