--- a/review/cases_test.go
+++ b/review/cases_test.go
@@ -33,3 +33,6 @@
 func BenchmarkReviewCase2(b *testing.B) { runScript(b, "2/run.sh") }
 
 func BenchmarkReviewCase3(b *testing.B) { runScript(b, "3/run.sh") }
+
+// BenchmarkReviewOverload is a play of part two that is no case.
+func BenchmarkReviewOverload(b *testing.B) { runScript(b, "overload.sh") }
--- a/review/standin/disk.go
+++ b/review/standin/disk.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	fakeresp "honeyplank/fake/resp"
@@ -29,14 +31,22 @@
 	began    func(arrival)               // called for each read or write; may be nil
 	work     func(arrival) time.Duration // how long it takes
 	size     func(arrival) int           // of its value
-
-	// receiveBuffer is the size of the buffer in which the system keeps what the disk server has not read yet, for each
-	// connection; 0 stands for the system's default.
-	receiveBuffer int
 }
 
-func newDisk(shard int, work func(arrival) time.Duration) (*disk, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// newDisk returns a disk server. receiveBuffer is the size of the buffer in which the system keeps what the disk server
+// has not read yet, for each connection; 0 stands for the system's default.
+func newDisk(shard, receiveBuffer int, work func(arrival) time.Duration) (*disk, error) {
+	config := net.ListenConfig{Control: func(_, _ string, socket syscall.RawConn) error {
+		if receiveBuffer == 0 {
+			return nil
+		}
+		var setErr error
+		err := socket.Control(func(fd uintptr) {
+			setErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+		})
+		return errors.Join(err, setErr)
+	}}
+	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
@@ -58,9 +68,6 @@
 		if err != nil {
 			return
 		}
-		if tcp, ok := conn.(*net.TCPConn); ok && d.receiveBuffer > 0 {
-			_ = tcp.SetReadBuffer(d.receiveBuffer)
-		}
 		go d.serveConn(conn)
 	}
 }
@@ -132,12 +139,11 @@
 // serveDisk runs a disk server as a process of its own, which writes its address and then each command that begins to
 // standard output.
 func serveDisk() {
-	d, err := newDisk(0, func(arrival) time.Duration { return 25 * time.Millisecond })
+	d, err := newDisk(0, 32<<10, func(arrival) time.Duration { return 25 * time.Millisecond })
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(notRun)
 	}
-	d.receiveBuffer = 32 << 10
 	fmt.Println(d.listener.Addr())
 	d.began = func(a arrival) { fmt.Println(a.id, a.at.UnixNano(), a.parts) }
 	d.serve()
--- a/review/standin/flood.go
+++ b/review/standin/flood.go
@@ -24,12 +24,12 @@
 	usualClients = 10
 )
 
-// memoryUnderFlood is case 2. Bad clients send hundreds of writes at once, each within the protocol. The scheduler may
+// memoryUnderFlood is case 3. Bad clients send hundreds of writes at once, each within the protocol. The scheduler may
 // not go over its memory limit, over which the platform kills it.
 func memoryUnderFlood(w *world) (violations []string, err error) {
 	var members []fakeresp.Member
 	for shard := range diskServers {
-		d, err := newDisk(shard, func(arrival) time.Duration { return 30 * time.Millisecond })
+		d, err := newDisk(shard, 0, func(arrival) time.Duration { return 30 * time.Millisecond })
 		if err != nil {
 			return nil, err
 		}
--- a/review/standin/gone.go
+++ b/review/standin/gone.go
@@ -79,7 +79,7 @@
 	return a, ok
 }
 
-// clientGone is case 3. A client sends a long write and closes its connection 40 ms later, while the disk server stands
+// clientGone is case 1. A client sends a long write and closes its connection 40 ms later, while the disk server stands
 // still. No attempt may begin more than 0.1 s after the close.
 func clientGone(w *world) (violations []string, err error) {
 	var disks []*diskProcess
@@ -178,6 +178,12 @@
 	c.close()
 	closed := time.Now()
 	w.record("the client of %s has closed its connection", r.id)
+	newer := r
+	newer.id, newer.body = fmt.Sprintf("%016x", 0xa0000+round), "newer"
+	newerReply, err := w.writeNewer(s, newer)
+	if err != nil {
+		return "", err
+	}
 	time.Sleep(time.Until(stopped.Add(standstill)))
 	if w.trouble {
 		w.record("the disk server of shard %d goes on", r.shard)
@@ -186,6 +192,8 @@
 		}
 	}
 	time.Sleep(300 * time.Millisecond)
+	newerServed := <-newerReply
+	w.record("newer write %s: %s", newer.id, newerServed.summary())
 	a, ok := d.arrivalOf(r.id)
 	if !ok {
 		w.record("%s has not begun", r.id)
@@ -193,9 +201,41 @@
 	}
 	after := a.at.Sub(closed)
 	w.recordAt(a.at, "%s begins, %v after the close; its bytes were read in %d parts", r.id, after, a.parts)
+	overwritten := ""
+	if n, ok := d.arrivalOf(newer.id); ok {
+		w.recordAt(n.at, "%s begins, %v before %s", newer.id, a.at.Sub(n.at), r.id)
+		if a.at.After(n.at) && newerServed.served {
+			overwritten = ", and after the newer write of its piece, which was served"
+		}
+	}
 	// A command in one part may have come to the disk server's system before the close.
 	if a.parts > 1 && after > closeSlack {
-		return fmt.Sprintf("attempt of %s began %v after its client's close", r.id, after.Round(time.Millisecond)), nil
+		after = after.Round(time.Millisecond)
+		return fmt.Sprintf("%s began %v after its client's close%s", r.id, after, overwritten), nil
 	}
 	return "", nil
 }
+
+// writeNewer sends a newer write of the same piece on another connection, as the user of a client that has left does.
+// Its reply comes on the channel.
+func (w *world) writeNewer(s *scheduler, newer request) (<-chan reply, error) {
+	c, err := dialClient(s.address)
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(20 * time.Millisecond)
+	if _, err := c.conn.Write(newer.encode()); err != nil {
+		return nil, err
+	}
+	w.record("newer write %s of the same piece is sent on another connection", newer.id)
+	replies := make(chan reply, 1)
+	go func() {
+		defer c.close()
+		answered, err := c.read(time.Now().Add(3 * time.Second))
+		if err != nil {
+			answered.text = err.Error()
+		}
+		replies <- answered
+	}()
+	return replies, nil
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -7,6 +7,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -22,9 +24,10 @@
 
 // cases are the cases by name. Each returns the violations that it has seen.
 var cases = map[string]func(*world) ([]string, error){
+	"gone":  clientGone,
 	"term":  pipelineAtShutdown,
 	"flood": memoryUnderFlood,
-	"gone":  clientGone,
+	"over":  lostUnderOverload,
 }
 
 func main() {
@@ -56,9 +59,13 @@
 		violations, err := run(w)
 		done <- result{violations, err}
 	}()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, os.Interrupt)
 	var r result
 	select {
 	case r = <-done:
+	case s := <-interrupted:
+		r.err = fmt.Errorf("ended by %v", s)
 	case <-time.After(caseTimeout):
 		r.err = fmt.Errorf("no result after %v", caseTimeout)
 	}
--- a/review/standin/term.go
+++ b/review/standin/term.go
@@ -19,12 +19,12 @@
 	answerSlack = 500*time.Millisecond + 50*time.Millisecond
 )
 
-// pipelineAtShutdown is case 1. A client sends 40 reads of long values at once, 50 ms after SIGTERM. Each has to get
+// pipelineAtShutdown is case 2. A client sends 40 reads of long values at once, 50 ms after SIGTERM. Each has to get
 // its final answer within its time and half a second.
 func pipelineAtShutdown(w *world) (violations []string, err error) {
 	var members []fakeresp.Member
 	for shard := range diskServers {
-		d, err := newDisk(shard, func(a arrival) time.Duration {
+		d, err := newDisk(shard, 0, func(a arrival) time.Duration {
 			if a.id == readID(0) {
 				return slowWork
 			}
