--- a/review/cases_test.go
+++ b/review/cases_test.go
@@ -36,3 +36,6 @@
 
 // BenchmarkReviewOverload is a play of part two that is no case.
 func BenchmarkReviewOverload(b *testing.B) { runScript(b, "overload.sh") }
+
+// BenchmarkReviewLateCopy is a play of part one that is no case.
+func BenchmarkReviewLateCopy(b *testing.B) { runScript(b, "late.sh") }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,6 +28,7 @@
 	"term":  pipelineAtShutdown,
 	"flood": memoryUnderFlood,
 	"over":  lostUnderOverload,
+	"late":  foreignAfterLateCopy,
 }
 
 func main() {
