scheduler: a command that is not acknowledged never begins once its op has ended

Cause: the tracker cancelled only dispatches that Sender.Written reports as not written; a command counts as written once this machine's kernel has it. The kernel sends on when a disk server that stood still reads again. Change: Sender.Abandon resets the connection of a command that is not acknowledged; the kernel then drops what it holds, so the last byte never arrives. A connection that carries ops of others gets 50 ms for the acknowledgement first. The same holds for a dispatch that timed out or was cancelled there, and at the end of the process.

--- a/inflight/dispatch.go
+++ b/inflight/dispatch.go
@@ -65,8 +65,8 @@
 }
 
 // abandon abandons the dispatches of a finished op, so that the op does not start on a disk server after its client has
-// gone. A dispatch that waits for a connection, or whose last byte waits to be sent, has not run and is cancelled. A
-// written one is left to the sender. Limitation: if a sender reports a dispatch as not written although it has been
+// gone. A dispatch that waits for a connection, or whose last byte waits to be sent, has not run and is cancelled. Only
+// the sender knows whether it can still stop a written one. Limitation: if a sender reports a dispatch as not written although it has been
 // sent, an op that runs counts as not sent.
 func (t *Tracker) abandon(o *op) {
 	for i := 0; i < len(o.dispatches); i++ { // the slice may grow during the loop
@@ -101,6 +101,9 @@
 	}
 }
 
+// Cancel cancels the dispatch, which may have run, unless it has ended.
+func (d *Dispatch) Cancel() { d.cancel(honeyplank.Cancelled) }
+
 // cancel cancels the dispatch at the sender and finishes it with the code, unless it has ended.
 func (d *Dispatch) cancel(code honeyplank.Code) {
 	if !d.ended {
@@ -119,14 +122,15 @@
 	t, o := d.tracker, d.op
 	t.loop.Cancel(&d.timer)
 	o.outstanding--
-	if code == honeyplank.Succeeded && !o.answered {
+	answers := code == honeyplank.Succeeded && !o.answered
+	if answers {
 		t.Counts.Succeeded++
 		t.markAnswered(o)
 		o.client.Succeeded(data)
 	}
 	t.removeIfDone(o)
 	t.Deliver(d.outcome(code, feedback))
-	if o.answered {
+	if answers {
 		t.abandon(o)
 	}
 }
--- a/inflight/tracker.go
+++ b/inflight/tracker.go
@@ -37,8 +37,8 @@
 	Send(dispatch *Dispatch)
 	// Written reports whether the last byte has been sent, so that the op may run.
 	Written(dispatch *Dispatch) bool
-	// Abandon is called when the op of a written dispatch has its final answer or its client has gone, so that the
-	// outcome is not needed.
+	// Abandon is called when the op of a written dispatch has its final answer or its client has gone. The Sender keeps
+	// the command from arriving, if it still can. In that case it must call Dispatch.Cancel or Dispatch.Finish.
 	Abandon(dispatch *Dispatch)
 	// Cancel cancels a dispatch; the Sender discards an answer that arrives later.
 	Cancel(dispatch *Dispatch)
@@ -185,7 +185,7 @@
 		t.fail(a)
 	case honeyplank.Cancel:
 		if o := t.ops[a.Op]; o != nil && a.Dispatch >= 0 && a.Dispatch < len(o.dispatches) {
-			o.dispatches[a.Dispatch].cancel(honeyplank.Cancelled)
+			o.dispatches[a.Dispatch].Cancel()
 		}
 	case honeyplank.SetTimer:
 		t.loop.Schedule(a.At, func() { t.Deliver(honeyplank.Timer{ID: a.ID}) })
--- a/inflight/tracker_test.go
+++ b/inflight/tracker_test.go
@@ -230,6 +230,13 @@
 			if len(h.cancelled) != 1 || h.cancelled[0] != h.sent[2] || !h.sent[2].Ended() {
 				t.Errorf("%d dispatches cancelled, want only the unwritten one", len(h.cancelled))
 			}
+			wantAbandoned := h.sent[:2]
+			if name == "succeeded" {
+				wantAbandoned = h.sent[:1]
+			}
+			if !slices.Equal(h.abandoned, wantAbandoned) {
+				t.Errorf("%d written dispatches abandoned, want %d, each once", len(h.abandoned), len(wantAbandoned))
+			}
 			if notSent := h.notSent(); !slices.Equal(notSent, []int{2}) {
 				t.Errorf("dispatches %v reported as not sent, want [2]", notSent)
 			}
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -43,11 +43,19 @@
 	return a != nil && a.fullyWritten()
 }
 
-// Abandon counts the written commands that the kernel of the disk server has not acknowledged when their op ends. They
-// may still arrive later.
+// Abandon keeps a written command from arriving if the kernel of the disk server has not acknowledged it: this machine's
+// kernel would send it when the server reads again, however late. The connection is reset. If other attempts on it await
+// an answer, it is reset only if the command is not acknowledged within abandonGrace.
 func (s sender) Abandon(d *inflight.Dispatch) {
-	if a, _ := d.SenderState.(*attempt); a != nil && !a.acknowledged() {
-		s.abandonedUnacked++
+	a, _ := d.SenderState.(*attempt)
+	if a == nil || a.acknowledged() {
+		return
+	}
+	s.abandonedUnacked++
+	if a.conn.awaitsOthers(a) {
+		a.conn.resetUnlessAcknowledged(a)
+	} else {
+		d.Cancel()
 	}
 }
 
@@ -81,7 +89,7 @@
 
 // cancel ends the wait for an answer. If the command has not been fully written, it is withdrawn. If it has been, the
 // connection takes no more attempts, and closes once no attempt on it awaits an answer. The close allows the disk
-// server to drop the command.
+// server to drop the command. Until then the command is kept from arriving as in Abandon.
 func (a *attempt) cancel() {
 	written := a.fullyWritten()
 	a.finished = true
@@ -94,7 +102,9 @@
 		sc.withdraw(a)
 	default:
 		sc.retiring = true
-		sc.closeIfAbandoned()
+		if sc.closeIfAbandoned(); !a.acknowledged() {
+			sc.resetUnlessAcknowledged(a)
+		}
 	}
 }
 
--- a/scheduler/modules_test.go
+++ b/scheduler/modules_test.go
@@ -79,3 +79,17 @@
 	}
 	return singleServerModule{"s-0"}.Handle(now, event)
 }
+
+// twoServersModule is a module that dispatches every op to two disk servers at once.
+type twoServersModule [2]honeyplank.ServerID
+
+func (m twoServersModule) Handle(_ time.Duration, event honeyplank.Event) []honeyplank.Action {
+	op, ok := event.(honeyplank.Op)
+	if !ok {
+		return nil
+	}
+	return []honeyplank.Action{
+		honeyplank.Dispatch{Op: op.ID, Server: m[0]},
+		honeyplank.Dispatch{Op: op.ID, Server: m[1]},
+	}
+}
--- a/scheduler/server_conn.go
+++ b/scheduler/server_conn.go
@@ -17,6 +17,9 @@
 	// rest.
 	maxEncodedAge = 5 * time.Millisecond
 	maxPartialAge = 100 * time.Millisecond
+	// abandonGrace is the time for which a connection that several attempts share waits for the acknowledgement of a
+	// command that is no longer needed. An op counts as lost if it begins over 100 ms after its client has gone.
+	abandonGrace = 50 * time.Millisecond
 )
 
 // serverConn is one connection to a disk server.
@@ -38,6 +41,7 @@
 	errConnectTimeout = errors.New("connect timeout")
 	errUnexpectedData = errors.New("unexpected data: no command is in flight")
 	errServerClosed   = errors.New("closed by the disk server")
+	errAbandonedData  = errors.New("a command that is no longer needed is not acknowledged")
 )
 
 // writtenBytes returns the number of bytes that the kernel has accepted, as a position in the output. The value stays
@@ -209,6 +213,27 @@
 	sc.close()
 }
 
+// awaitsOthers reports whether an attempt other than a awaits its outcome on the connection.
+func (sc *serverConn) awaitsOthers(a *attempt) bool {
+	return slices.ContainsFunc(sc.inFlight, func(other *attempt) bool { return other != a && !other.finished })
+}
+
+// resetUnlessAcknowledged resets the connection after abandonGrace if the kernel of the disk server has not acknowledged
+// the command of an attempt by then. The other attempts in flight fail; those that may have run are reported as reset.
+func (sc *serverConn) resetUnlessAcknowledged(a *attempt) {
+	loop := sc.server.scheduler.loop
+	loop.Schedule(loop.Now()+abandonGrace, func() {
+		if a.conn != sc || a.acknowledged() {
+			return
+		}
+		sc.retiring = true
+		a.fail(honeyplank.Cancelled)
+		if sc.conn != nil {
+			sc.failWith(errAbandonedData)
+		}
+	})
+}
+
 // Closed is called when the connection broke, was closed by the disk server or could not be opened.
 func (sc *serverConn) Closed(_ *eventloop.Conn, err error) {
 	if err == nil {
--- a/scheduler/shutdown.go
+++ b/scheduler/shutdown.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"honeyplank"
@@ -108,10 +109,21 @@
 				return
 			}
 		}
-		s.loop.Stop()
+		s.stop()
 	})
 }
 
+// stop ends the loop. It resets the connections on which commands are not acknowledged: every op has its answer, and
+// this machine's kernel would deliver these commands even after the end of the process.
+func (s *Scheduler) stop() {
+	for _, ds := range s.servers {
+		for _, sc := range slices.Clone(ds.conns) {
+			sc.close()
+		}
+	}
+	s.loop.Stop()
+}
+
 // stopIfIdle stops the loop after idleBeforeStop if the scheduler is idle now and is idle again at that time.
 func (s *Scheduler) stopIfIdle() {
 	if !s.isIdle() || s.stopping {
@@ -122,7 +134,7 @@
 		if s.stopping = s.isIdle(); s.stopping {
 			s.logCounters()
 			s.stopWatch()
-			s.loop.Stop()
+			s.stop()
 		}
 	})
 }
