scheduler: count the memory that the data of clients uses, and warn near its limit

Requests, input, replies, output buffers and garbage of the collector could each be what grows; no log line told. Change: memoryBudget has the sum over all clients; resp.Reader.AcceptBulk tells of each argument that begins (and can discard it, not used yet); eventloop.Conn has OnWritten and OutputMemory. Arguments of a request whose client has gone are released at once. Nothing is limited yet. Tests of scheduler, resp, eventloop, gateway and docs pass.

--- a/eventloop/connection.go
+++ b/eventloop/connection.go
@@ -44,6 +44,8 @@
 	MaxReadBytes int
 	// BeforeWrite, if set, is called before bytes of Output are written. It may change the unsent bytes.
 	BeforeWrite func()
+	// OnWritten, if set, is called after bytes of Output were written, except when that closes the socket.
+	OnWritten func()
 	// OnClosed, if set, is called when the socket is closed, by either end.
 	OnClosed func()
 	// NotifyHalfClose makes the loop call Handler.Closed as soon as the peer shuts down sending, even if the connection
--- a/eventloop/output.go
+++ b/eventloop/output.go
@@ -10,6 +10,15 @@
 // UnsentBytes returns the number of bytes of Output that are not written to the socket yet.
 func (c *Conn) UnsentBytes() int { return len(c.Output) - c.written }
 
+// OutputMemory returns the number of bytes of memory that Output uses, not counting a small buffer that is kept for
+// reuse.
+func (c *Conn) OutputMemory() int {
+	if n := cap(c.Output); n > keptOutputSize {
+		return n
+	}
+	return 0
+}
+
 // DiscardUnsent removes the unsent bytes at each index i with from <= i < to; index 0 is the first unsent byte. It must
 // not be used together with FaultFilter.
 func (c *Conn) DiscardUnsent(from, to int) {
@@ -55,6 +64,9 @@
 	}
 	c.releaseWritten()
 	c.updateInterest()
+	if c.OnWritten != nil {
+		c.OnWritten()
+	}
 }
 
 // filterOutput passes the new bytes of Output through FaultFilter.
@@ -86,12 +98,12 @@
 }
 
 // releaseWritten removes the written bytes from Output when all bytes are written, or when more than readSize bytes
-// are. When all are written, it continues a close that waits for them.
+// are. When all are written, it continues a close that waits for them. A buffer larger than keptOutputSize is released.
 func (c *Conn) releaseWritten() {
 	switch {
 	case c.written == len(c.Output):
 		c.Output, c.written, c.filtered = c.Output[:0], 0, 0
-		if cap(c.Output) > readSize {
+		if cap(c.Output) > keptOutputSize {
 			c.Output = nil
 		}
 		c.outputWritten()
--- a/resp/resp.go
+++ b/resp/resp.go
@@ -30,10 +30,12 @@
 // Value is one RESP2 value.
 type Value struct {
 	Kind Kind
-	Null bool    // a bulk string or an array of length -1
-	Int  int64   // value of an Integer
-	Text []byte  // text of a SimpleString, Error or BulkString
-	List []Value // elements of an Array
+	Null bool   // a bulk string or an array of length -1
+	Int  int64  // value of an Integer
+	Text []byte // text of a SimpleString, Error or BulkString
+	// Discarded means that Reader.AcceptBulk has not accepted the BulkString, so that Text is missing.
+	Discarded bool
+	List      []Value // elements of an Array
 }
 
 // Limits are the limits of the values that a Reader accepts. A value that exceeds one of them causes a ProtocolError.
@@ -65,10 +67,15 @@
 // Reader reads values one by one. It must not be used again after an error.
 type Reader struct {
 	Limits Limits
+	// AcceptBulk, if set, is called with the size of each bulk string that begins, in bytes. If it returns false, the
+	// Reader discards the text as it is received and sets Value.Discarded.
+	AcceptBulk func(size int) bool
 
 	line       []byte      // the incomplete line
-	bulk       []byte      // the incomplete bulk string
+	bulk       []byte      // the incomplete bulk string; only its line end if it is discarded
 	bulkSize   int         // bytes of the whole bulk string with its line end; 0 outside of a bulk string
+	bulkRead   int         // bytes of the bulk string that have been read
+	discarding bool        // the text of the bulk string is discarded
 	total      int         // bytes of the incomplete value, with the declared length of its bulk string
 	openArrays []openArray // the incomplete arrays, outermost first
 }
@@ -152,17 +159,23 @@
 
 // readBulk reads the bytes of a bulk string, which follow its length.
 func (r *Reader) readBulk(b []byte) (Frame, error) {
-	used := min(r.bulkSize-len(r.bulk), len(b))
-	r.bulk = append(r.bulk, b[:used]...)
-	if len(r.bulk) < r.bulkSize {
+	used := min(r.bulkSize-r.bulkRead, len(b))
+	size := r.bulkSize - len(lineEnd)
+	kept := b[:used]
+	if r.discarding {
+		kept = kept[min(max(size-r.bulkRead, 0), used):]
+	}
+	r.bulk = append(r.bulk, kept...)
+	r.bulkRead += used
+	if r.bulkRead < r.bulkSize {
 		return Frame{Used: used}, nil
 	}
-	text := r.bulk[:r.bulkSize-len(lineEnd)]
 	if !bytes.HasSuffix(r.bulk, lineEnd) {
-		return Frame{Used: used}, protocolError("a bulk string of %d bytes does not end there", len(text))
+		return Frame{Used: used}, protocolError("a bulk string of %d bytes does not end there", size)
 	}
-	r.bulk, r.bulkSize = nil, 0
-	return Frame{Used: used, Complete: true, Value: Value{Kind: BulkString, Text: text}}, nil
+	value := Value{Kind: BulkString, Text: r.bulk[:len(r.bulk)-len(lineEnd)], Discarded: r.discarding}
+	r.bulk, r.bulkSize, r.bulkRead, r.discarding = nil, 0, 0, false
+	return Frame{Used: used, Complete: true, Value: value}, nil
 }
 
 // readLine returns a line without its line end, or nil if the line is incomplete.
@@ -263,6 +276,7 @@
 		return err
 	}
 	r.bulkSize = int(n) + len(lineEnd)
+	r.discarding = r.AcceptBulk != nil && !r.AcceptBulk(int(n))
 	return nil
 }
 
--- a/scheduler/client.go
+++ b/scheduler/client.go
@@ -66,6 +66,9 @@
 	loopTime       time.Duration // loop time used since its last op or throttling
 	closing        bool          // no more commands are handled
 	quitRequested  bool          // the client has sent QUIT
+	closed         bool          // the connection is closed
+	memory         clientMemory
+	countedMemory  int // bytes that the budget of the scheduler contains for the client
 }
 
 // accept accepts a client connection. It rejects the connection by returning nil if there is no descriptor for it and
@@ -77,7 +80,8 @@
 	}
 	s.clientConnCount++
 	now := s.loop.Now()
-	c := &client{scheduler: s, conn: conn, reader: resp.Reader{Limits: commandLimits}, lastActivity: now}
+	c := &client{scheduler: s, conn: conn, lastActivity: now}
+	c.reader = resp.Reader{Limits: commandLimits, AcceptBulk: c.acceptBulk}
 	conn.NotifyHalfClose, conn.MaxReadBytes = true, initialReadSize
 	conn.OnClosed = func() {
 		s.clientConnCount--
@@ -85,8 +89,11 @@
 			s.activeClients--
 		}
 		delete(s.clients, c)
+		c.closed = true
+		c.updateMemory()
 		s.stopIfIdle()
 	}
+	conn.OnWritten = c.updateMemory
 	s.clients[c] = true
 	return c
 }
@@ -168,8 +175,15 @@
 // Opened does nothing, since accepted connections are already open.
 func (c *client) Opened(*eventloop.Conn) {}
 
+// acceptBulk counts an argument of a command that begins.
+func (c *client) acceptBulk(size int) bool {
+	c.memory.incoming += size
+	return true
+}
+
 // Input handles the commands in b and returns the number of bytes that it has used.
 func (c *client) Input(_ *eventloop.Conn, b []byte) (used int) {
+	defer c.updateMemory()
 	s := c.scheduler
 	now, admitted := s.loop.Now(), s.tracker.Counts.Admitted
 	used, commands, err := c.readCommands(b, now)
@@ -261,6 +275,7 @@
 		if !r.done {
 			r.done = true
 			c.scheduler.tracker.ClientGone(r.id)
+			r.args = nil
 		}
 	}
 }
@@ -277,7 +292,9 @@
 	if len(c.pending) > 0 { // flushReplies closes the connection after the last one
 		c.closing = true
 		c.conn.Pause()
-		c.pending = append(c.pending, &request{client: c, done: true, reply: resp.AppendError(nil, text)})
+		r := &request{client: c, args: nil}
+		c.pending = append(c.pending, r)
+		r.complete(resp.AppendError(nil, text))
 		return
 	}
 	c.closing = true
@@ -290,12 +307,14 @@
 func (c *client) flushReplies() {
 	for len(c.pending) > 0 && c.pending[0].done {
 		c.conn.Output = append(c.conn.Output, c.pending[0].reply...)
+		c.memory.replies -= len(c.pending[0].reply)
 		c.pending[0] = nil
 		c.pending = c.pending[1:]
 	}
 	if len(c.pending) == 0 {
 		c.pending = nil
 	}
+	c.updateMemory()
 	c.lastActivity = c.scheduler.loop.Now()
 	switch {
 	case c.quitRequested && len(c.pending) == 0:
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -49,6 +49,7 @@
 	// Offsets in options of the value of option d, the timeout, which is replaced in the command for a disk server.
 	timeoutStart, timeoutEnd int
 
+	size  int // bytes that it uses until the reply is complete
 	reply []byte
 	done  bool // reply is complete
 }
@@ -60,10 +61,12 @@
 	for i, v := range list {
 		args[i] = v.Text
 	}
-	r := &request{client: c, args: args}
+	r := &request{client: c, args: args, size: c.memory.incoming + requestOverhead}
+	c.memory.incoming = 0
+	c.memory.requests += r.size
 	c.pending = append(c.pending, r)
 	if c.scheduler.admissionClosed { // the command was buffered when admission was closed
-		r.reply, r.done = resp.AppendError(nil, "BUSY"), true
+		r.complete(resp.AppendError(nil, "BUSY"))
 		return
 	}
 	switch name := string(bytes.ToUpper(args[0])); {
@@ -108,11 +111,18 @@
 	if r.done {
 		return
 	}
-	r.reply, r.done = reply, true
-	r.args = nil
+	r.complete(reply)
 	r.client.flushReplies()
 }
 
+// complete sets the reply and releases the arguments.
+func (r *request) complete(reply []byte) {
+	r.reply, r.done = reply, true
+	r.client.memory.requests -= r.size
+	r.client.memory.replies += len(reply)
+	r.args, r.size = nil, 0
+}
+
 // Succeeded replies with the data of the op.
 func (r *request) Succeeded(data []byte) { r.respond(resp.AppendBulk(nil, data)) }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -58,6 +58,8 @@
 	rejectedConns    int // client connections rejected for lack of a descriptor
 	abandonedUnacked int // written commands that were not acknowledged when their op ended
 	countersLoggedAt time.Duration
+	memory           memoryBudget
+	memoryWarnedAt   time.Duration
 
 	shuttingDown    bool
 	graceElapsed    bool // no more clients are expected to connect: killGrace has elapsed or admission is closed
@@ -141,6 +143,7 @@
 		peerOrdinals: ordinalsByAddress(config.Peers),
 	}
 	s.tracker = inflight.New(loop, module, sender{s})
+	s.memory.setLimit(config.MemoryMB)
 	s.tracker.OnAction = s.execute
 	s.tracker.OnIdle = s.stopIfIdle
 	if err := s.openSockets(); err != nil {
@@ -217,6 +220,7 @@
 		Int("rejected_connections", s.rejectedConns).
 		Int("clients", s.clientConnCount).
 		Int("active_clients", s.activeClients).
+		Int("client_memory", s.memory.used).
 		Int("disk_servers", len(s.servers)).
 		Int("connections", s.serverConnCount).
 		Msg("counts")
@@ -229,6 +233,7 @@
 		discoveryChanged := config.Discovery != s.config.Discovery
 		config.Site = s.config.Site
 		s.config = config
+		s.memory.setLimit(config.MemoryMB)
 		s.peerOrdinals = ordinalsByAddress(config.Peers)
 		if discoveryChanged { // without waiting for a scheduled retry, which then has no effect
 			s.stopWatch()
