scheduler: the data of all clients together stays within a quarter of the memory limit

Cause: each connection was bounded, the sum of all was not (over 600 MB at 512 descriptors). The runtime's memory limit frees nothing that is in use. Change: memoryBudget, a module without clock or I/O, limits the sum. Up to half of it every client may send on; beyond it only one without other data there. A body that does not fit is discarded as it comes (resp.Reader.AcceptBulk) and its command rejected, so it is never held and has not run. A value that does not fit is answered as failed. Related paths: 16 KB at most are read from a client at a time, empty output buffers over 16 KB and the buffers of closed connections are released. Why this works: whatever the clients send, what is held for them is counted before it is kept, and refused past the limit; the other uses are bounded by the number of connections.

--- a/eventloop/close.go
+++ b/eventloop/close.go
@@ -24,6 +24,7 @@
 		return
 	}
 	c.closed = true
+	c.Output, c.written, c.filtered, c.input = nil, 0, 0, nil // timers may keep the Conn for seconds
 	c.loop.closeDescriptor(c.fd)
 	if c.Tap != nil {
 		c.Tap(false, nil)
--- a/eventloop/loop.go
+++ b/eventloop/loop.go
@@ -69,7 +69,7 @@
 	// readSize is the size of the buffer of reads, in bytes.
 	readSize = 256 << 10
 	// keptOutputSize is the largest size, in bytes, of an empty output buffer that a connection keeps for reuse.
-	keptOutputSize = readSize
+	keptOutputSize = 16 << 10
 	// eventsPerPoll is the maximum number of events of one poll.
 	eventsPerPoll = 256
 	// roundPause is the time for which the loop sleeps in a round if an event that cannot be handled would wake it
--- a/eventloop/output.go
+++ b/eventloop/output.go
@@ -108,7 +108,7 @@
 		}
 		c.outputWritten()
 	case c.written > readSize:
-		c.Output = append(c.Output[:0], c.Output[c.written:]...)
+		c.Output = slices.Clone(c.Output[c.written:]) // a buffer of the size that is needed now
 		c.filtered, c.written = max(0, c.filtered-c.written), 0
 	}
 }
--- a/resp/resp.go
+++ b/resp/resp.go
@@ -2,8 +2,8 @@
 // strings and arrays.
 //
 // A Reader accepts bytes as they are received and buffers an incomplete value. It is safe for untrusted input: it
-// checks each length against a limit before it reads further, and allocates memory as bytes are received, never in
-// advance for a declared length. It rejects a value that exceeds the limits with a ProtocolError.
+// checks each length against a limit before it reads further, and allocates memory as bytes are received, not in advance
+// for a declared length, unless Reader.AcceptBulk accepts that. It rejects a value that exceeds the limits with a ProtocolError.
 //
 // The package does no I/O, starts no goroutines and does not interpret commands. A Reader must be used by one goroutine
 // at a time.
@@ -67,8 +67,9 @@
 // Reader reads values one by one. It must not be used again after an error.
 type Reader struct {
 	Limits Limits
-	// AcceptBulk, if set, is called with the size of each bulk string that begins, in bytes. If it returns false, the
-	// Reader discards the text as it is received and sets Value.Discarded.
+	// AcceptBulk, if set, is called with the size of each bulk string that begins, in bytes. If it returns true, the
+	// Reader allocates that size, and no more later. If it returns false, the Reader discards the text as it is received
+	// and sets Value.Discarded.
 	AcceptBulk func(size int) bool
 
 	line       []byte      // the incomplete line
@@ -276,7 +277,12 @@
 		return err
 	}
 	r.bulkSize = int(n) + len(lineEnd)
-	r.discarding = r.AcceptBulk != nil && !r.AcceptBulk(int(n))
+	if r.AcceptBulk == nil {
+		return nil
+	}
+	if r.discarding = !r.AcceptBulk(int(n)); !r.discarding {
+		r.bulk = make([]byte, 0, r.bulkSize)
+	}
 	return nil
 }
 
--- a/resp/resp_test.go
+++ b/resp/resp_test.go
@@ -289,3 +289,41 @@
 	}
 	return array, nil
 }
+
+// TestAcceptBulk checks that bulk strings that are not accepted are discarded in pieces of any size, and that their line
+// ends are still checked.
+func TestAcceptBulk(t *testing.T) {
+	text := []byte("*3\r\n$3\r\nSET\r\n$20\r\n" + strings.Repeat("x", 20) + "\r\n$0\r\n\r\n*1\r\n$4\r\nPING\r\n")
+	for size := 1; size <= len(text); size++ {
+		var sizes []int
+		r := Reader{Limits: commandLimits, AcceptBulk: func(n int) bool {
+			sizes = append(sizes, n)
+			return n < 20
+		}}
+		var got []string
+		for rest := text; len(rest) > 0; {
+			frame, err := r.Next(rest[:min(size, len(rest))])
+			if err != nil {
+				t.Fatal(err)
+			}
+			rest = rest[frame.Used:]
+			if !frame.Complete {
+				continue
+			}
+			for _, v := range frame.Value.List {
+				got = append(got, fmt.Sprintf("%s %v", v.Text, v.Discarded))
+			}
+		}
+		if want := "[SET false  true  false PING false]"; fmt.Sprint(got) != want {
+			t.Errorf("pieces of %d bytes: %v, want %s", size, got, want)
+		}
+		if want := "[3 20 0 4]"; fmt.Sprint(sizes) != want {
+			t.Errorf("pieces of %d bytes: sizes %v, want %s", size, sizes, want)
+		}
+	}
+	r := Reader{Limits: commandLimits, AcceptBulk: func(int) bool { return false }}
+	_, err := r.Next([]byte("*1\r\n$3\r\nabcd\r\n"))
+	if want := "resp: a bulk string of 3 bytes does not end there"; err == nil || err.Error() != want {
+		t.Errorf("error %v, want %s", err, want)
+	}
+}
--- a/scheduler/client.go
+++ b/scheduler/client.go
@@ -29,11 +29,14 @@
 	// The longest timeout of an op is maxTimeoutFactor times the op timeout of the settings.
 	maxTimeoutFactor = 100
 
+	// clientReadSize is the number of bytes that are read from a client at a time, and so the largest number that stay
+	// unhandled while reading is paused.
+	clientReadSize = 16 << 10
+
 	// Clients that send no ops are limited in their use of the loop. At most maxCommandBatch commands of one of them
-	// are handled in a row, and initialReadSize bytes are read at a time. All of them together get 1/throttleFactor of
-	// the loop's time. Pauses shorter than minThrottle are added up; no pause is longer than maxThrottle.
+	// are handled in a row. All of them together get 1/throttleFactor of the loop's time. Pauses shorter than
+	// minThrottle are added up; no pause is longer than maxThrottle.
 	maxCommandBatch = 64
-	initialReadSize = 16 << 10
 	throttleFactor  = 4
 	minThrottle     = 2 * time.Millisecond
 	maxThrottle     = time.Second
@@ -82,7 +85,7 @@
 	now := s.loop.Now()
 	c := &client{scheduler: s, conn: conn, lastActivity: now}
 	c.reader = resp.Reader{Limits: commandLimits, AcceptBulk: c.acceptBulk}
-	conn.NotifyHalfClose, conn.MaxReadBytes = true, initialReadSize
+	conn.NotifyHalfClose, conn.MaxReadBytes = true, clientReadSize
 	conn.OnClosed = func() {
 		s.clientConnCount--
 		if c.hasSentOp {
@@ -175,24 +178,18 @@
 // Opened does nothing, since accepted connections are already open.
 func (c *client) Opened(*eventloop.Conn) {}
 
-// acceptBulk counts an argument of a command that begins.
-func (c *client) acceptBulk(size int) bool {
-	c.memory.incoming += size
-	return true
-}
-
 // Input handles the commands in b and returns the number of bytes that it has used.
 func (c *client) Input(_ *eventloop.Conn, b []byte) (used int) {
 	defer c.updateMemory()
 	s := c.scheduler
-	now, admitted := s.loop.Now(), s.tracker.Counts.Admitted
+	now, opsBefore := s.loop.Now(), s.opsReceived()
 	used, commands, err := c.readCommands(b, now)
 	if err != nil {
 		c.protocolError(err)
 		return len(b)
 	}
 	switch {
-	case s.tracker.Counts.Admitted > admitted:
+	case s.opsReceived() > opsBefore:
 		c.loopTime = 0
 	case !c.closing && !s.admissionClosed:
 		c.loopTime += s.loop.Now() - now
@@ -210,13 +207,16 @@
 	return used
 }
 
+// opsReceived returns the number of ops that were admitted or rejected for lack of memory.
+func (s *Scheduler) opsReceived() int { return s.tracker.Counts.Admitted + s.memoryRejections }
+
 // readCommands handles the complete commands in b until a limit of the client is reached. It returns an error if b
 // violates the protocol.
 func (c *client) readCommands(b []byte, now time.Duration) (used, commands int, err error) {
 	s := c.scheduler
-	admitted := s.tracker.Counts.Admitted
+	opsBefore := s.opsReceived()
 	for used < len(b) && !c.closing {
-		if commands >= maxCommandBatch && s.tracker.Counts.Admitted == admitted && !s.admissionClosed {
+		if commands >= maxCommandBatch && s.opsReceived() == opsBefore && !s.admissionClosed {
 			break
 		}
 		if c.replyBacklog() >= maxReplyBacklog && !s.admissionClosed {
@@ -289,15 +289,16 @@
 	if errors.As(err, &protocol) {
 		text += ": " + protocol.Reason
 	}
+	c.closing = true
+	c.reader, c.memory.incoming = resp.Reader{}, 0
+	defer c.updateMemory()
 	if len(c.pending) > 0 { // flushReplies closes the connection after the last one
-		c.closing = true
 		c.conn.Pause()
-		r := &request{client: c, args: nil}
+		r := &request{client: c}
 		c.pending = append(c.pending, r)
 		r.complete(resp.AppendError(nil, text))
 		return
 	}
-	c.closing = true
 	c.conn.Output = resp.AppendError(c.conn.Output, text)
 	c.conn.CloseAfterFlush(errorReadTime)
 }
--- a/scheduler/memory.go
+++ b/scheduler/memory.go
@@ -9,6 +9,8 @@
 	bytesInMB         = 1 << 20
 	// requestOverhead is an estimate of the bytes of the records of a request, in addition to its arguments.
 	requestOverhead = 2 << 10
+	// smallArgument is the largest argument, in bytes, that is always kept. A body may be larger.
+	smallArgument = 1 << 10
 	// memoryWarningInterval is the minimum time between two warnings that clients use much memory.
 	memoryWarningInterval = 5 * time.Second
 )
@@ -19,6 +21,19 @@
 	used  int // bytes
 }
 
+// acceptsRequest reports whether a client whose other data uses held bytes may send a request of a size. Up to half of
+// the limit every client may. Beyond it a client may only if it has no other data, so that clients that send many
+// requests at once leave room for those that send one at a time.
+func (b *memoryBudget) acceptsRequest(held, size int) bool {
+	return b.used+size <= b.limit/2 || held == 0 && b.used+size <= b.limit
+}
+
+// acceptsReply reports whether a reply may be kept for a client whose other data uses held bytes. It leaves the last
+// quarter of the limit to clients that have no other data.
+func (b *memoryBudget) acceptsReply(held, size int) bool {
+	return b.used+size <= b.limit*3/4 || held == 0 && b.used+size <= b.limit
+}
+
 // nearLimit reports whether more than half of the limit is used.
 func (b *memoryBudget) nearLimit() bool { return b.used > b.limit/2 }
 
@@ -38,6 +53,24 @@
 	b.limit = int(clientMemoryShare * float64(memoryMB) * bytesInMB)
 }
 
+// acceptBulk counts an argument of a command that begins, and reports whether it may be kept.
+func (c *client) acceptBulk(size int) bool {
+	held := c.memory.total() - c.memory.incoming
+	if size > smallArgument && !c.scheduler.memory.acceptsRequest(held, size) {
+		return false
+	}
+	c.memory.incoming += size
+	c.updateMemory()
+	return true
+}
+
+// fitsMemory reports whether the client may keep the data of a request and n more bytes.
+func (r *request) fitsMemory(n int) bool {
+	c := r.client
+	held := c.memory.total() - c.memory.incoming - r.size
+	return c.scheduler.memory.acceptsReply(held, n)
+}
+
 // updateMemory passes changes of the client's memory to the budget of the scheduler. A closed connection uses none.
 func (c *client) updateMemory() {
 	s := c.scheduler
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -58,8 +58,10 @@
 // which the command can have been received.
 func (c *client) handleCommand(received time.Duration, list []resp.Value) {
 	args := make([][]byte, len(list))
+	discarded := false
 	for i, v := range list {
 		args[i] = v.Text
+		discarded = discarded || v.Discarded
 	}
 	r := &request{client: c, args: args, size: c.memory.incoming + requestOverhead}
 	c.memory.incoming = 0
@@ -69,8 +71,14 @@
 		r.complete(resp.AppendError(nil, "BUSY"))
 		return
 	}
+	isOp := string(args[0]) == "BLK.READ" || string(args[0]) == "BLK.WRITE"
 	switch name := string(bytes.ToUpper(args[0])); {
-	case string(args[0]) == "BLK.READ" || string(args[0]) == "BLK.WRITE":
+	case isOp && (discarded || !r.fitsMemory(0)):
+		c.scheduler.memoryRejections++
+		r.Rejected(0)
+	case discarded:
+		r.Rejected(0)
+	case isOp:
 		r.admit(received)
 	case name == "PING" && len(args) == 1:
 		r.respond(resp.AppendSimpleString(nil, "PONG"))
@@ -101,7 +109,7 @@
 		return
 	}
 	if !c.hasSentOp {
-		c.hasSentOp, c.conn.MaxReadBytes = true, 0
+		c.hasSentOp = true
 		c.scheduler.activeClients++
 	}
 }
@@ -123,8 +131,15 @@
 	r.args, r.size = nil, 0
 }
 
-// Succeeded replies with the data of the op.
-func (r *request) Succeeded(data []byte) { r.respond(resp.AppendBulk(nil, data)) }
+// Succeeded replies with the data of the op, or with an error if clients use too much memory for it.
+func (r *request) Succeeded(data []byte) {
+	if !r.fitsMemory(len(data) - r.size) {
+		r.client.scheduler.memoryFailures++
+		r.Failed()
+		return
+	}
+	r.respond(resp.AppendBulk(nil, data))
+}
 
 // Failed replies that the op failed and may or may not have run.
 func (r *request) Failed() { r.respond(resp.AppendError(nil, "ERR failed")) }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -60,6 +60,8 @@
 	countersLoggedAt time.Duration
 	memory           memoryBudget
 	memoryWarnedAt   time.Duration
+	memoryRejections int // ops rejected because clients use too much memory
+	memoryFailures   int // values that were not passed on to their clients for that reason
 
 	shuttingDown    bool
 	graceElapsed    bool // no more clients are expected to connect: killGrace has elapsed or admission is closed
@@ -221,6 +223,8 @@
 		Int("clients", s.clientConnCount).
 		Int("active_clients", s.activeClients).
 		Int("client_memory", s.memory.used).
+		Int("memory_rejections", s.memoryRejections).
+		Int("memory_failures", s.memoryFailures).
 		Int("disk_servers", len(s.servers)).
 		Int("connections", s.serverConnCount).
 		Msg("counts")
