--- a/cmd/honeyplank/memory_test.go
+++ b/cmd/honeyplank/memory_test.go
@@ -51,8 +51,8 @@
 	}
 }
 
-// check runs a scheduler whose clients nearly all are abusive. Its anonymous memory must stay within the limit, and each
-// request of a usual client must get its answer in time.
+// check runs a scheduler whose clients nearly all are abusive. Its anonymous memory must stay within the limit, and
+// each request of a usual client must get its answer in time.
 func (x abuse) check(t *testing.T, limits platformLimits) {
 	c, lines := startPlatform(t, configFile(t, abuseConfig(t, limits)))
 	address := servingAddress(t, waitForLine(t, lines, "serving"))
@@ -163,7 +163,8 @@
 		return
 	}
 	defer conn.Close()
-	replies := resp.Reader{Limits: resp.Limits{Line: 512, BulkString: maxValue, Items: 1, Depth: 1, Total: 2 * maxValue}}
+	limits := resp.Limits{Line: 512, BulkString: maxValue, Items: 1, Depth: 1, Total: 2 * maxValue}
+	replies := resp.Reader{Limits: limits}
 	for n := 0; time.Now().Before(end); n++ {
 		sent := time.Now()
 		if _, err := conn.Write(command("read", fmt.Sprint("usual", number), n)); err != nil {
--- a/inflight/dispatch.go
+++ b/inflight/dispatch.go
@@ -66,8 +66,8 @@
 
 // abandon abandons the dispatches of a finished op, so that the op does not start on a disk server after its client has
 // gone. A dispatch that waits for a connection, or whose last byte waits to be sent, has not run and is cancelled. Only
-// the sender knows whether it can still stop a written one. Limitation: if a sender reports a dispatch as not written although it has been
-// sent, an op that runs counts as not sent.
+// the sender knows whether it can still stop a written one. Limitation: if a sender reports a dispatch as not written
+// although it has been sent, an op that runs counts as not sent.
 func (t *Tracker) abandon(o *op) {
 	for i := 0; i < len(o.dispatches); i++ { // the slice may grow during the loop
 		switch d := o.dispatches[i]; {
--- a/resp/resp.go
+++ b/resp/resp.go
@@ -2,8 +2,9 @@
 // strings and arrays.
 //
 // A Reader accepts bytes as they are received and buffers an incomplete value. It is safe for untrusted input: it
-// checks each length against a limit before it reads further, and allocates memory as bytes are received, not in advance
-// for a declared length, unless Reader.AcceptBulk accepts that. It rejects a value that exceeds the limits with a ProtocolError.
+// checks each length against a limit before it reads further, and allocates memory as bytes are received, not in
+// advance for a declared length, unless Reader.AcceptBulk accepts that. It rejects a value that exceeds the limits with
+// a ProtocolError.
 //
 // The package does no I/O, starts no goroutines and does not interpret commands. A Reader must be used by one goroutine
 // at a time.
@@ -68,8 +69,8 @@
 type Reader struct {
 	Limits Limits
 	// AcceptBulk, if set, is called with the size of each bulk string that begins, in bytes. If it returns true, the
-	// Reader allocates that size, and no more later. If it returns false, the Reader discards the text as it is received
-	// and sets Value.Discarded.
+	// Reader allocates that size, and no more later. If it returns false, the Reader discards the text as it is
+	// received and sets Value.Discarded.
 	AcceptBulk func(size int) bool
 
 	line       []byte      // the incomplete line
--- a/resp/resp_test.go
+++ b/resp/resp_test.go
@@ -290,8 +290,8 @@
 	return array, nil
 }
 
-// TestAcceptBulk checks that bulk strings that are not accepted are discarded in pieces of any size, and that their line
-// ends are still checked.
+// TestAcceptBulk checks that bulk strings that are not accepted are discarded in pieces of any size, and that their
+// line ends are still checked.
 func TestAcceptBulk(t *testing.T) {
 	text := []byte("*3\r\n$3\r\nSET\r\n$20\r\n" + strings.Repeat("x", 20) + "\r\n$0\r\n\r\n*1\r\n$4\r\nPING\r\n")
 	for size := 1; size <= len(text); size++ {
--- a/scheduler/abandon_test.go
+++ b/scheduler/abandon_test.go
@@ -112,12 +112,12 @@
 	shared.bed.checkNotReceived(shared.gate, fmt.Sprint("w", late))
 }
 
-// TestStopDuringServerStall guards against an op that begins after the process has ended, since the kernel sends on what
-// it holds when a socket is closed.
+// TestStopDuringServerStall guards against an op that begins after the process has ended, since the kernel sends on
+// what it holds when a socket is closed.
 func TestStopDuringServerStall(t *testing.T) {
 	const n = 100 // together larger than the socket buffers of one connection
 	shared := newSharedConn(t, n)
-	shared.bed.disks[0].SetFaults(fakeresp.Faults{Silent: true}) // an answer to the closed socket would end the connection
+	shared.bed.disks[0].SetFaults(fakeresp.Faults{Silent: true}) // an answer would end the connection
 	gone := shared.lastUnacked()
 	shared.clients[gone].disconnect()
 	shared.bed.awaitClientGone()
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -43,9 +43,9 @@
 	return a != nil && a.fullyWritten()
 }
 
-// Abandon keeps a written command from arriving if the kernel of the disk server has not acknowledged it: this machine's
-// kernel would send it when the server reads again, however late. The connection is reset. If other attempts on it await
-// an answer, it is reset only if the command is not acknowledged within abandonGrace.
+// Abandon keeps a written command from arriving if the kernel of the disk server has not acknowledged it: the local
+// kernel would send it when the server reads again, however late. The connection is reset. If other attempts on it
+// await an answer, it is reset only if the command is not acknowledged within abandonGrace.
 func (s sender) Abandon(d *inflight.Dispatch) {
 	a, _ := d.SenderState.(*attempt)
 	if a == nil || a.acknowledged() {
--- a/scheduler/memory_test.go
+++ b/scheduler/memory_test.go
@@ -56,7 +56,7 @@
 		sum += c.memory.total()
 	}
 	if s.memory.used != sum || sum > s.memory.limit {
-		bed.t.Errorf("%d bytes are counted for all clients, %d for each one, limit %d", s.memory.used, sum, s.memory.limit)
+		bed.t.Errorf("counted %d bytes for all clients, the sum is %d, limit %d", s.memory.used, sum, s.memory.limit)
 	}
 }
 
@@ -81,7 +81,8 @@
 		flood = append(flood, c)
 		go func() {
 			for n := range writes {
-				command := encodeCommand("BLK.WRITE", objectKey, fmt.Sprint("f", i, "-", n), opOptions("write", 9000, 0), body)
+				id := fmt.Sprint("f", i, "-", n)
+				command := encodeCommand("BLK.WRITE", objectKey, id, opOptions("write", 9000, 0), body)
 				if _, err := c.Write(command); err != nil {
 					return // the memory stays below what the test waits for
 				}
--- a/scheduler/server_conn.go
+++ b/scheduler/server_conn.go
@@ -218,8 +218,9 @@
 	return slices.ContainsFunc(sc.inFlight, func(other *attempt) bool { return other != a && !other.finished })
 }
 
-// resetUnlessAcknowledged resets the connection after abandonGrace if the kernel of the disk server has not acknowledged
-// the command of an attempt by then. The other attempts in flight fail; those that may have run are reported as reset.
+// resetUnlessAcknowledged resets the connection after abandonGrace if the kernel of the disk server has not
+// acknowledged the command of an attempt by then. The other attempts in flight fail; those that may have run are
+// reported as reset.
 func (sc *serverConn) resetUnlessAcknowledged(a *attempt) {
 	loop := sc.server.scheduler.loop
 	loop.Schedule(loop.Now()+abandonGrace, func() {
