scheduler: memory for small ops beside large bodies; rejected clients count as active

Cause: read once more, the limit on clients' data had two gaps. A client of which every op was rejected for lack of memory did not count as one that sends ops, so its connection was closed 2 s later, over answers not yet sent. And bodies could fill the limit up to the point where ops without a body are rejected. Change: such a client counts (markOpSent). Bodies fill three quarters of the limit at most.

--- a/scheduler/client.go
+++ b/scheduler/client.go
@@ -63,7 +63,7 @@
 	pending        []*request    // commands whose reply has not been written, in order
 	lastActivity   time.Duration // time of the last complete command, reply or skipped eviction
 	commandStarted time.Duration // when the first part of an incomplete command was received; 0 if there is none
-	hasSentOp      bool          // at least one of its ops was admitted
+	hasSentOp      bool          // at least one of its ops was admitted, or rejected for lack of memory
 	paused         bool          // reading is paused
 	throttled      bool          // reading is paused because the client used too much time of the loop
 	loopTime       time.Duration // loop time used since its last op or throttling
--- a/scheduler/memory.go
+++ b/scheduler/memory.go
@@ -21,15 +21,15 @@
 	used  int // bytes
 }
 
-// acceptsRequest reports whether a client whose other data uses held bytes may send a request of a size. Up to half of
-// the limit every client may. Beyond it a client may only if it has no other data, so that clients that send many
-// requests at once leave room for those that send one at a time.
-func (b *memoryBudget) acceptsRequest(held, size int) bool {
-	return b.used+size <= b.limit/2 || held == 0 && b.used+size <= b.limit
+// acceptsBody reports whether a body of a size may be kept for a client whose other data uses held bytes. Up to half of
+// the limit every client may send bodies. Up to three quarters a client may if it has no other data, so that clients
+// that send many requests at once leave room for those that send one at a time.
+func (b *memoryBudget) acceptsBody(held, size int) bool {
+	return b.used+size <= b.limit/2 || held == 0 && b.used+size <= b.limit*3/4
 }
 
-// acceptsReply reports whether a reply may be kept for a client whose other data uses held bytes. It leaves the last
-// quarter of the limit to clients that have no other data.
+// acceptsReply reports whether a reply, or a request without a large body, may be kept for a client whose other data
+// uses held bytes. It leaves the last quarter of the limit to clients that have no other data.
 func (b *memoryBudget) acceptsReply(held, size int) bool {
 	return b.used+size <= b.limit*3/4 || held == 0 && b.used+size <= b.limit
 }
@@ -56,7 +56,7 @@
 // acceptBulk counts an argument of a command that begins, and reports whether it may be kept.
 func (c *client) acceptBulk(size int) bool {
 	held := c.memory.total() - c.memory.incoming
-	if size > smallArgument && !c.scheduler.memory.acceptsRequest(held, size) {
+	if size > smallArgument && !c.scheduler.memory.acceptsBody(held, size) {
 		return false
 	}
 	c.memory.incoming += size
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -75,6 +75,7 @@
 	switch name := string(bytes.ToUpper(args[0])); {
 	case isOp && (discarded || !r.fitsMemory(0)):
 		c.scheduler.memoryRejections++
+		c.markOpSent()
 		r.Rejected(0)
 	case discarded:
 		r.Rejected(0)
@@ -108,6 +109,11 @@
 		r.respond(resp.AppendError(nil, "ERR "+err.Error()))
 		return
 	}
+	c.markOpSent()
+}
+
+// markOpSent records that the client has sent an op.
+func (c *client) markOpSent() {
 	if !c.hasSentOp {
 		c.hasSentOp = true
 		c.scheduler.activeClients++
