scheduler: no time-out of a command while reading from its client is paused

Seen: in a test under the race detector a connection was closed with 'the rest of a command does not come' while the scheduler had paused reading from it. What the client had sent behind is lost. Cause: client.checkTimeouts counts commandTimeout also while client.paused; a client that is throttled within a command stays paused while 16 or more of its ops are unanswered (resumeReading). Change: no time-out in the pause; after it at least half of commandTimeout is left.

--- a/scheduler/client.go
+++ b/scheduler/client.go
@@ -17,8 +17,11 @@
 	maxPending      = 32                   // unanswered commands of one connection; further ones stay unread
 	maxReplyBacklog = maxPending * maxBody // bytes of pending and unsent replies from which no more commands are read
 
-	commandTimeout = 2 * time.Second        // idle time before the first op, and time for the rest of a command
-	errorReadTime  = 200 * time.Millisecond // for the client to read an error before the connection closes
+	// commandTimeout is the idle time before the first op, and the time for the rest of a command. At least half of it
+	// is left for the rest of a command after a pause of reading.
+	commandTimeout = 2 * time.Second
+
+	errorReadTime = 200 * time.Millisecond // for the client to read an error before the connection closes
 
 	// The idle connection of a client that has sent ops stays open for maxIdle. If such clients hold more than an
 	// eighth of all descriptors, it stays open for reducedIdle, and if they hold more than a quarter, for minIdle.
@@ -352,6 +355,9 @@
 func (c *client) resumeReading() {
 	if c.paused && !c.throttled && !c.closing && !c.scheduler.admissionClosed && c.replyBacklog() < maxReplyBacklog/2 {
 		c.paused = false
+		if c.commandStarted > 0 { // the rest of the command may not have been read because of the pause
+			c.commandStarted = max(c.commandStarted, c.scheduler.loop.Now()-commandTimeout/2)
+		}
 		c.conn.Resume()
 	}
 }
@@ -373,7 +379,7 @@
 	now := c.scheduler.loop.Now()
 	switch idle := now - c.lastActivity; {
 	case c.closing:
-	case c.commandStarted > 0 && now-c.commandStarted > commandTimeout:
+	case c.commandStarted > 0 && !c.paused && now-c.commandStarted > commandTimeout:
 		c.protocolError(&resp.ProtocolError{Reason: "the rest of a command does not come"})
 	case c.isBusy() && idle <= maxIdle:
 		c.resumeReading()
