--- a/inflight/dispatch.go
+++ b/inflight/dispatch.go
@@ -75,7 +75,7 @@
 		case t.sender.Written(d):
 			t.sender.Abandon(d)
 		default:
-			d.cancel(honeyplank.NotSent)
+			d.cancelWith(honeyplank.NotSent)
 		}
 	}
 }
@@ -95,17 +95,17 @@
 // Expire ends a dispatch at its deadline. Only the event loop calls it.
 func (d *Dispatch) Expire() {
 	if d.tracker.sender.Written(d) {
-		d.cancel(honeyplank.TimedOut)
+		d.cancelWith(honeyplank.TimedOut)
 	} else {
-		d.cancel(honeyplank.ConnectFailed)
+		d.cancelWith(honeyplank.ConnectFailed)
 	}
 }
 
 // Cancel cancels the dispatch, which may have run, unless it has ended.
-func (d *Dispatch) Cancel() { d.cancel(honeyplank.Cancelled) }
+func (d *Dispatch) Cancel() { d.cancelWith(honeyplank.Cancelled) }
 
-// cancel cancels the dispatch at the sender and finishes it with the code, unless it has ended.
-func (d *Dispatch) cancel(code honeyplank.Code) {
+// cancelWith cancels the dispatch at the sender and finishes it with the code, unless it has ended.
+func (d *Dispatch) cancelWith(code honeyplank.Code) {
 	if !d.ended {
 		d.tracker.sender.Cancel(d)
 		d.Finish(code, nil, Feedback{})
--- a/inflight/tracker_test.go
+++ b/inflight/tracker_test.go
@@ -227,16 +227,7 @@
 			h.admit("a", time.Second)
 			h.written[h.sent[0]], h.written[h.sent[1]] = true, true
 			end(h)
-			if len(h.cancelled) != 1 || h.cancelled[0] != h.sent[2] || !h.sent[2].Ended() {
-				t.Errorf("%d dispatches cancelled, want only the unwritten one", len(h.cancelled))
-			}
-			wantAbandoned := h.sent[:2]
-			if name == "succeeded" {
-				wantAbandoned = h.sent[:1]
-			}
-			if !slices.Equal(h.abandoned, wantAbandoned) {
-				t.Errorf("%d written dispatches abandoned, want %d, each once", len(h.abandoned), len(wantAbandoned))
-			}
+			h.checkAbandoned()
 			if notSent := h.notSent(); !slices.Equal(notSent, []int{2}) {
 				t.Errorf("dispatches %v reported as not sent, want [2]", notSent)
 			}
@@ -250,6 +241,19 @@
 	}
 }
 
+// checkAbandoned checks that the third dispatch was cancelled, and that each of the others that has not ended was
+// abandoned once.
+func (h *harness) checkAbandoned() {
+	h.t.Helper()
+	if len(h.cancelled) != 1 || h.cancelled[0] != h.sent[2] || !h.sent[2].Ended() {
+		h.t.Errorf("%d dispatches cancelled, want only the unwritten one", len(h.cancelled))
+	}
+	want := slices.DeleteFunc(slices.Clone(h.sent[:2]), (*Dispatch).Ended)
+	if !slices.Equal(h.abandoned, want) {
+		h.t.Errorf("%d written dispatches abandoned, want %d, each once", len(h.abandoned), len(want))
+	}
+}
+
 // dispatchThrice dispatches each op three times and ignores other events.
 func dispatchThrice(e honeyplank.Event) []honeyplank.Action {
 	op, ok := e.(honeyplank.Op)
--- a/resp/resp_test.go
+++ b/resp/resp_test.go
@@ -296,24 +296,10 @@
 	text := []byte("*3\r\n$3\r\nSET\r\n$20\r\n" + strings.Repeat("x", 20) + "\r\n$0\r\n\r\n*1\r\n$4\r\nPING\r\n")
 	for size := 1; size <= len(text); size++ {
 		var sizes []int
-		r := Reader{Limits: commandLimits, AcceptBulk: func(n int) bool {
+		got := readInPieces(t, text, size, func(n int) bool {
 			sizes = append(sizes, n)
 			return n < 20
-		}}
-		var got []string
-		for rest := text; len(rest) > 0; {
-			frame, err := r.Next(rest[:min(size, len(rest))])
-			if err != nil {
-				t.Fatal(err)
-			}
-			rest = rest[frame.Used:]
-			if !frame.Complete {
-				continue
-			}
-			for _, v := range frame.Value.List {
-				got = append(got, fmt.Sprintf("%s %v", v.Text, v.Discarded))
-			}
-		}
+		})
 		if want := "[SET false  true  false PING false]"; fmt.Sprint(got) != want {
 			t.Errorf("pieces of %d bytes: %v, want %s", size, got, want)
 		}
@@ -327,3 +313,20 @@
 		t.Errorf("error %v, want %s", err, want)
 	}
 }
+
+// readInPieces reads commands and returns, for each argument, its text and whether it was discarded.
+func readInPieces(t *testing.T, text []byte, size int, accept func(int) bool) (args []string) {
+	t.Helper()
+	r := Reader{Limits: commandLimits, AcceptBulk: accept}
+	for len(text) > 0 {
+		frame, err := r.Next(text[:min(size, len(text))])
+		if err != nil {
+			t.Fatal(err)
+		}
+		text = text[frame.Used:]
+		for _, v := range frame.Value.List { // empty unless the command is complete
+			args = append(args, fmt.Sprintf("%s %v", v.Text, v.Discarded))
+		}
+	}
+	return args
+}
--- a/scheduler/memory_test.go
+++ b/scheduler/memory_test.go
@@ -143,6 +143,20 @@
 	bed.checkNoMemory()
 }
 
+// countIncomplete returns the number of clients within a command, and of those whose body is kept. It is called on the
+// loop.
+func (bed *testbed) countIncomplete() (incomplete, kept int) {
+	for c := range bed.scheduler.clients {
+		if c.commandStarted > 0 {
+			incomplete++
+		}
+		if c.memory.incoming > maxBody {
+			kept++
+		}
+	}
+	return incomplete, kept
+}
+
 // TestRejectedClientIsKept guards against the loss of an answer: a client of which every op was rejected for lack of
 // memory counts as one that has sent ops, so its connection is not closed as that of an abusive client.
 func TestRejectedClientIsKept(t *testing.T) {
@@ -181,15 +195,7 @@
 		c.sendBytes(command[:len(command)-1])
 	}
 	bed.eventuallyOnLoop("commands that are not kept", func() bool {
-		incomplete, kept := 0, 0
-		for c := range bed.scheduler.clients {
-			if c.commandStarted > 0 {
-				incomplete++
-			}
-			if c.memory.incoming > maxBody {
-				kept++
-			}
-		}
+		incomplete, kept := bed.countIncomplete()
 		return incomplete == clients && kept < clients
 	})
 	other := bed.dialClient()
