--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -11,6 +11,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -40,10 +42,15 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	go func() { // the script may not run for longer
-		time.Sleep(longestRun)
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, os.Interrupt, syscall.SIGTERM)
+	go func() { // the script ends all that it has started, also where it ends early
+		select {
+		case <-ended:
+		case <-time.After(longestRun):
+		}
 		l.close()
-		fmt.Fprintln(os.Stderr, "could not run: it took too long")
+		fmt.Fprintln(os.Stderr, "could not run: it was ended, or took too long")
 		os.Exit(exitFailed)
 	}()
 	err = play(l)
