Review, case 8: a client gets the value of another client's request

Disk servers send one of five answers twice, 2 to 4 ms late, and stand still for 74 to 210 ms every few seconds. Where a standstill begins between the two answers, the second one is taken for the answer to the next command on that connection.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -2,6 +2,7 @@
 // clients, disk servers and discovery of its own, and judges what they see. All addresses are loopback addresses.
 //
 //	bin/standin2 CASE RECORD
+//	bin/standin2 disk COPIES    # a disk server, started by a case
 //
 // It runs bin/honeyplank of the current directory and writes what was sent, answered and run to the file RECORD. It
 // exits with 1 if the rule of the case was broken, with 0 if it held and with 2 if the case could not run. With
@@ -24,10 +25,14 @@
 	longestRun = 110 * time.Second
 )
 
-// cases are the cases by their numbers. The file of each case adds it.
+// cases are the cases by their numbers, and two plays by name. The file of each adds it.
 var cases = map[string]func(*lab) error{}
 
 func main() {
+	if len(os.Args) == 3 && os.Args[1] == "disk" {
+		fmt.Fprintln(os.Stderr, runDisk(os.Args[2] == "true"))
+		os.Exit(exitFailed)
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin2 CASE RECORD")
 		os.Exit(exitFailed)
