--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -34,10 +34,16 @@
 // Written reports whether a dispatch has been submitted, so that the op may run.
 func (s sender) Written(dispatch *inflight.Dispatch) bool { return dispatch.SenderState != nil }
 
-// Abandon does nothing: all commands for a disk server share one connection, so a submitted one cannot be taken back.
-func (s sender) Abandon(*inflight.Dispatch) {}
+// Abandon cancels a submitted dispatch if a part of its command or data can still be kept from arriving: otherwise it
+// would be sent after the final answer of the op, over what its client has written since.
+func (s sender) Abandon(dispatch *inflight.Dispatch) {
+	server, submitted := dispatch.SenderState.(*diskServer)
+	if submitted && server.association != nil && server.association.IO.MayLeave(uint16(dispatch.SenderTag)) {
+		dispatch.Cancel()
+	}
+}
 
-// Cancel abandons the command of a dispatch; an answer that arrives later is discarded.
+// Cancel abandons the command of a dispatch: nothing more is sent for it, and a later answer is discarded.
 func (s sender) Cancel(dispatch *inflight.Dispatch) {
 	server, submitted := dispatch.SenderState.(*diskServer)
 	if !submitted {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -31,6 +31,8 @@
 	disks    []*disk.Server
 	gateway  *gateway.Instance
 	serving  sync.WaitGroup // of each Serve
+
+	lastCommandID uint16 // of the command that was submitted last; used on the loop only
 }
 
 // testSettings has volume 1, whose extents of 256 blocks alternate between cells 0 and 1, and volume 2 on cell 1.
@@ -265,7 +267,8 @@
 		done := initiator.CallbackFunc(func(r initiator.Result) {
 			out <- answer{bytes.Clone(r.Data), r.Status(), r.ConnectionLost, time.Since(began), r.DW0()}
 		})
-		if _, ok := client.IO.Submit(command, data, read, done); !ok {
+		id, ok := client.IO.Submit(command, data, read, done)
+		if h.lastCommandID = id; !ok {
 			out <- answer{lost: true}
 		}
 	})
--- a/initiator/association.go
+++ b/initiator/association.go
@@ -122,6 +122,10 @@
 		output:  &c.Output,
 		flush:   c.Send,
 		onReady: func() { a.sendConnect(q.id) },
+
+		transport:    transportOf(c),
+		requestAbort: func(cid uint16) { a.requestAbort(q.id, cid) },
+		requireAck:   func(cid uint16) { a.requireAck(q.id, cid) },
 	}
 	if q.id == ioQueue {
 		options.depth, options.maxData = a.settings.Depth, max(a.settings.MaxData, nvme.IdentifyLen)
@@ -151,7 +155,8 @@
 func (a *Association) IsClosed() bool { return a.closed }
 
 // Close ends the association. The callbacks of the commands in flight are called with ConnectionLost; the handler is
-// not called.
+// not called. A connection of which the controller's kernel has not acknowledged everything is reset: otherwise
+// commands could arrive after their callbacks.
 func (a *Association) Close() {
 	if a.closed {
 		return
@@ -159,10 +164,16 @@
 	a.closed = true
 	a.loop.Cancel(a.timer)
 	for id, conn := range a.conns {
-		if conn != nil {
+		s := a.sessions[id]
+		terminated := s != nil && s.terminated
+		switch {
+		case conn == nil:
+		case conn.UnackedBytes() > 0 && !terminated:
+			conn.Abort()
+		default:
 			conn.CloseGracefully()
 		}
-		if s := a.sessions[id]; s != nil {
+		if s != nil {
 			s.endInFlight()
 		}
 	}
--- a/initiator/model_test.go
+++ b/initiator/model_test.go
@@ -218,6 +218,9 @@
 		return bytes, verdict{}
 	}
 	m.requested += size
+	if m.abandoned {
+		return bytes, verdict{allowed: true} // its client may have been told that it did not run
+	}
 	return bytes, verdict{allowed: true, wantSent: size}
 }
 
--- a/initiator/session.go
+++ b/initiator/session.go
@@ -42,19 +42,38 @@
 	inputFraming  nvme.Framing
 	outputFraming nvme.Framing
 	ready         bool
+	terminated    bool // the session has ended the connection with a TermReq
 	slots         []slot
 	free          []uint16 // indices of free slots
+	appendedBytes uint64   // total bytes appended to the output, without the withdrawn ones
 }
 
 // sessionOptions holds a session's limits, and the functions and buffers of its connection.
 type sessionOptions struct {
-	depth   int  // largest number of commands in flight
-	maxData int  // bytes of data in one PDU from the controller
-	digests bool // request header and data digests
-	buffers *eventloop.Buffers
-	output  *[]byte
-	flush   func() // sends the output
-	onReady func() // called when ICResp has been received
+	depth     int  // largest number of commands in flight
+	maxData   int  // bytes of data in one PDU from the controller
+	digests   bool // request header and data digests
+	buffers   *eventloop.Buffers
+	output    *[]byte
+	transport transport // of the output
+	flush     func()    // sends the output
+	onReady   func()    // called when ICResp has been received
+	// requestAbort is called when the controller waits, or may wait, for the data of an abandoned Write, which is not
+	// sent any more.
+	requestAbort func(cid uint16)
+	// requireAck is called when bytes of an abandoned command are on their way to the controller.
+	requireAck func(cid uint16)
+}
+
+// transport tells how much of the output has left. It is implemented by eventloop.Conn.
+type transport interface {
+	// UnsentBytes returns the number of bytes that the kernel has not accepted.
+	UnsentBytes() int
+	// UnackedBytes returns the number of bytes that the kernel of the controller has not acknowledged, including the
+	// unsent ones.
+	UnackedBytes() int
+	// DiscardUnsent removes the unsent bytes from index from to before index to.
+	DiscardUnsent(from, to int)
 }
 
 // newSession creates a session and sends its ICReq.
@@ -64,12 +83,19 @@
 	for i := o.depth - 1; i >= 0; i-- {
 		s.free = append(s.free, uint16(i))
 	}
+	before := len(*o.output)
 	request := nvme.Init{HeaderDigest: o.digests, DataDigest: o.digests}
 	*o.output = nvme.AppendInit(*o.output, nvme.TypeICReq, request)
+	s.countAppended(before)
 	o.flush()
 	return s
 }
 
+// countAppended counts the bytes that were appended to the output since it had a length of before.
+func (s *Session) countAppended(before int) {
+	s.appendedBytes += uint64(len(*s.options.output) - before)
+}
+
 // Free returns the number of commands that may be submitted without waiting for an answer.
 func (s *Session) Free() int { return len(s.free) }
 
@@ -85,6 +111,7 @@
 	switch {
 	case len(data) > s.MaxCapsule:
 		c.SetSGL(nvme.SGLTransport, len(data))
+		v.writeBytes = len(data)
 		v.data = s.options.buffers.Get(len(data))
 		copy(v.data, data)
 		s.options.buffers.Copied(len(data))
@@ -94,21 +121,17 @@
 	default:
 		c.SetSGL(nvme.SGLTransport, readBytes)
 	}
+	before := len(*s.options.output)
+	v.firstByte = s.appendedBytes
 	*s.options.output = s.outputFraming.AppendCommand(*s.options.output, &c, inCapsule)
+	s.countAppended(before)
+	v.endByte = s.appendedBytes
 	s.options.buffers.Copied(len(inCapsule))
 	cid = v.commandID()
 	s.options.flush()
 	return cid, true
 }
 
-// Abandon makes the session discard the answer of a command. The callback is not called. The command id stays in use
-// until the answer has come.
-func (s *Session) Abandon(cid uint16) {
-	if v := s.findSlot(cid); v != nil {
-		v.callback = nil
-	}
-}
-
 func protocolError(status uint16, p *nvme.PDU, format string, a ...any) error {
 	header := append([]byte(nil), p.Header...)
 	return &nvme.FatalError{Status: status, Text: fmt.Sprintf(format, a...), Header: header}
@@ -125,8 +148,9 @@
 		}
 		if err != nil {
 			var fatal *nvme.FatalError
-			if errors.As(err, &fatal) {
+			if errors.As(err, &fatal) && s.options.transport.UnackedBytes() == 0 { // otherwise the connection is reset
 				*s.options.output = nvme.AppendTerm(*s.options.output, nvme.TypeH2CTermReq, fatal)
+				s.terminated = true
 			}
 			return len(b), err
 		}
@@ -194,8 +218,9 @@
 	if succeeded && v.received != v.readBytes {
 		return protocolError(nvme.FatalSequence, p, "success of a Read after %d of %d bytes", v.received, v.readBytes)
 	}
-	if succeeded && v.write && v.requested != len(v.data) {
-		return protocolError(nvme.FatalSequence, p, "success of a Write after %d of %d bytes", v.requested, len(v.data))
+	if succeeded && v.requested != v.writeBytes {
+		return protocolError(nvme.FatalSequence, p,
+			"success of a Write after %d of %d bytes", v.requested, v.writeBytes)
 	}
 	s.complete(v, c)
 	return nil
--- a/initiator/session_test.go
+++ b/initiator/session_test.go
@@ -22,6 +22,20 @@
 	output  []byte       // of the session
 	framing nvme.Framing // of the PDUs from the controller
 	input   nvme.Framing // of the PDUs to the controller
+	unsent  int          // bytes at the end of output that have not left
+	unacked int          // bytes that are not acknowledged, beside the unsent ones
+	aborts  []uint16     // ids of the commands whose Abort the session has requested
+	acks    []uint16     // ids of the commands whose acknowledgement the session has required
+}
+
+// UnsentBytes, UnackedBytes and DiscardUnsent implement transport.
+func (c *controller) UnsentBytes() int  { return c.unsent }
+func (c *controller) UnackedBytes() int { return c.unsent + c.unacked }
+
+func (c *controller) DiscardUnsent(from, to int) {
+	first := len(c.output) - c.unsent
+	c.output = slices.Delete(c.output, first+from, first+to)
+	c.unsent -= to - from
 }
 
 // newController returns a controller whose session waits for ICResp.
@@ -35,6 +49,10 @@
 		output:  &c.output,
 		flush:   func() {},
 		onReady: func() {},
+
+		transport:    c,
+		requestAbort: func(cid uint16) { c.aborts = append(c.aborts, cid) },
+		requireAck:   func(cid uint16) { c.acks = append(c.acks, cid) },
 	})
 	return c
 }
--- a/initiator/slot.go
+++ b/initiator/slot.go
@@ -10,10 +10,14 @@
 	write           bool
 	dataDigestError bool     // the digest of some data of a Read did not match
 	callback        Callback // nil: abandoned
-	data            []byte   // of a Write whose R2T may come, or of a Read
+	data            []byte   // of a Write whose R2T may come, or of a Read; nil once the command is abandoned
+	writeBytes      int      // bytes of a Write that R2Ts have to request
 	readBytes       int      // expected bytes of a Read
 	received        int      // received bytes of a Read
 	requested       int      // bytes of a Write that R2Ts have requested
+	unanswered      bool     // an R2T was not answered, because the command was abandoned
+	firstByte       uint64   // position of its command capsule in the output of the connection
+	endByte         uint64   // position after the last byte that was sent for it
 }
 
 // slotBits is the number of bits of a command id that hold the slot's index.
--- a/initiator/transfer.go
+++ b/initiator/transfer.go
@@ -34,24 +34,32 @@
 	return nil
 }
 
-// handleR2T sends the data of a Write that the controller requests.
+// handleR2T sends the data of a Write that the controller requests. The data of an abandoned Write is not sent: its
+// client has been told that it did not run, and may have written the same blocks anew.
 func (s *Session) handleR2T(p *nvme.PDU) error {
 	v := s.findSlot(p.CCCID())
-	if v == nil || !v.write || v.data == nil {
+	if v == nil || v.writeBytes == 0 {
 		return protocolError(nvme.FatalSequence, p, "R2T for command id %d, which has no data to send", p.CCCID())
 	}
 	from, n := int64(p.Offset()), int64(p.Length())
-	if from != int64(v.requested) || n == 0 || from+n > int64(len(v.data)) {
-		return protocolError(nvme.FatalDataRange, p, "R2T for bytes %d to %d of %d", from, from+n, len(v.data))
+	if from != int64(v.requested) || n == 0 || from+n > int64(v.writeBytes) {
+		return protocolError(nvme.FatalDataRange, p, "R2T for bytes %d to %d of %d", from, from+n, v.writeBytes)
 	}
 	v.requested += int(n)
+	if v.callback == nil {
+		v.unanswered = true
+		s.options.requestAbort(v.commandID())
+		return nil
+	}
 	s.sendData(p, v.data[:from+n], int(from))
+	v.endByte = s.appendedBytes
 	s.options.flush()
 	return nil
 }
 
 // sendData answers an R2T with data[from:], in PDUs of at most the size that the controller accepts.
 func (s *Session) sendData(r2t *nvme.PDU, data []byte, from int) {
+	before := len(*s.options.output)
 	for ; from < len(data); from += s.outputFraming.MaxData {
 		part := data[from:min(from+s.outputFraming.MaxData, len(data))]
 		header := nvme.DataHeader{Type: nvme.TypeH2CData, CID: r2t.CCCID(), TTAG: r2t.TTAG(), Offset: from}
@@ -61,4 +69,5 @@
 		s.options.buffers.Copied(len(part))
 		*s.options.output = s.outputFraming.AppendData(*s.options.output, header, part)
 	}
+	s.countAppended(before)
 }
--- a/target/command.go
+++ b/target/command.go
@@ -162,8 +162,13 @@
 func (s *Session) drop(c *Command) {
 	delete(s.commands, c.CID())
 	s.uncountCommand(c)
-	s.releaseTransfer(c)
 	c.state = commandEnded
+	s.releaseBuffer(c)
+}
+
+// releaseBuffer releases the buffer of a Write whose data is not needed.
+func (s *Session) releaseBuffer(c *Command) {
+	s.releaseTransfer(c)
 	s.buffers.Put(c.Data)
 	c.Data = nil
 	s.associations.grantTransfers(s.settings, s.buffers)
--- a/target/session_test.go
+++ b/target/session_test.go
@@ -348,6 +348,9 @@
 	if c := admin.abort(8); c.DW0() != 0 || io.statusOf(io.receive()) != nvme.AbortRequested {
 		t.Error("a Write that waits for data was not aborted")
 	}
+	if io.session.buffers.InUse != 0 { // the host of an aborted Write need not send the data
+		t.Error("an aborted Write holds a buffer")
+	}
 	io.send(io.dataPDU(nvme.FlagLast, 8, received[0].TTAG(), 0, 2*testBlock))
 	if io.ended || len(io.admitted) != 0 || io.session.buffers.InUse != 0 {
 		t.Error("data of an aborted Write was not discarded")
--- a/target/transfer.go
+++ b/target/transfer.go
@@ -74,16 +74,17 @@
 	if from != int64(c.received) || from+int64(n) > int64(c.Bytes) || n == 0 {
 		return fatalError(nvme.FatalDataRange, dataOffsetField, p, "H2CData is not the next part of the transfer")
 	}
-	copy(c.Data[from:], p.Data)
-	s.buffers.Copied(n)
+	if c.state == commandReceiving {
+		copy(c.Data[from:], p.Data)
+		s.buffers.Copied(n)
+	}
 	c.received += n
 	complete := c.received == c.Bytes
 	if complete != (p.Flags&nvme.FlagLast != 0) {
 		return fatalError(nvme.FatalHeaderField, flagsField, p, "LAST_PDU does not match the end of the transfer")
 	}
 	if p.DataDigestError && c.state == commandReceiving {
-		c.state = commandDiscarding
-		s.respond(c.CID(), response{status: nvme.TransientTransport})
+		s.cancelTransfer(c, nvme.TransientTransport)
 	}
 	if complete {
 		s.completeTransfer(c)
@@ -110,11 +111,14 @@
 	}
 }
 
-// cancelTransfer answers a Write that waits for data. Data that comes later is read and discarded.
+// cancelTransfer answers a Write that waits for data. Data that comes later is read and discarded; it needs no buffer,
+// and may never come if the host has aborted the Write.
 func (s *Session) cancelTransfer(c *Command, status nvme.Status) {
 	s.respond(c.CID(), response{status: status})
 	c.state = commandDiscarding
-	if s.transfers[c.transferTag] != c {
+	if s.transfers[c.transferTag] == c {
+		s.releaseBuffer(c)
+	} else {
 		s.drop(c)
 	}
 	s.connection.flush()
