bench: an abusive client ends when done is closed, also if its peer does not read

Cause: the behaviours wrote without a deadline. The test reads for 50 ms; on a machine that is late the behaviour writes after that, and the write to a peer that no longer reads never returns. Against a gateway that does not read the measurement would not end either. Change: each write has a deadline of 1 s.

--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -149,6 +149,26 @@
 	}
 }
 
+// TestAbusiveBehavioursEndWithoutReader guards against the failure that a behaviour whose peer never reads does not
+// return after done is closed, so that the measurement does not end.
+func TestAbusiveBehavioursEndWithoutReader(t *testing.T) {
+	for i, behaviour := range abusiveBehaviours {
+		local, peer := net.Pipe()
+		done, ended := make(chan struct{}), make(chan struct{})
+		go func() {
+			defer close(ended)
+			behaviour(local, done)
+		}()
+		close(done)
+		select {
+		case <-ended:
+		case <-time.After(5 * time.Second):
+			t.Errorf("behaviour %d did not return within 5 s", i)
+		}
+		_ = peer.Close()
+	}
+}
+
 // TestProcessFigures reads the descriptors, memory and processor time of this process.
 func TestProcessFigures(t *testing.T) {
 	pid := os.Getpid()
--- a/bench/hostile.go
+++ b/bench/hostile.go
@@ -20,6 +20,7 @@
 	abusiveAddresses    = 16                     // number of loopback addresses from which abusive clients connect
 	reconnectInterval   = 200 * time.Millisecond // between two connections of one abusive client
 	abusiveDialTimeout  = time.Second
+	abusiveWriteTimeout = time.Second
 	maxRejectionTime    = 50 * time.Millisecond // a connection attempt that ends sooner counts as rejected
 	abusiveReadInterval = 100 * time.Millisecond
 	slowByteInterval    = time.Second
@@ -74,7 +75,7 @@
 // sendAndKeepOpen returns a behaviour that sends b and keeps the connection open.
 func sendAndKeepOpen(b []byte) abusiveBehaviour {
 	return func(c net.Conn, done <-chan struct{}) {
-		if _, err := c.Write(b); err != nil {
+		if !write(c, b) {
 			return
 		}
 		for !hasEnded(c, abusiveReadInterval, done) {
@@ -84,11 +85,17 @@
 
 // sendSlowly sends one byte in each slowByteInterval.
 func sendSlowly(c net.Conn, done <-chan struct{}) {
-	for {
-		if _, err := c.Write([]byte{0}); err != nil || hasEnded(c, slowByteInterval, done) {
-			return
-		}
+	for write(c, []byte{0}) && !hasEnded(c, slowByteInterval, done) {
+	}
+}
+
+// write writes b. It returns false if the connection has ended or the peer does not read within abusiveWriteTimeout.
+func write(c net.Conn, b []byte) bool {
+	if err := c.SetWriteDeadline(time.Now().Add(abusiveWriteTimeout)); err != nil {
+		return false
 	}
+	_, err := c.Write(b)
+	return err == nil
 }
 
 // hasEnded reads from the connection for at most wait. It reports whether the connection has ended, or done was closed
