policy: bounds for the records that new names make grow; bench overload

Cause: each new name left records for 30 s: a volume with its ranking, a queue at a server with a map, the whole op behind the first attempt of a request, and a cell's demand. The mean await went through all queues of a server for each signal. Evidence: honeyplank bench overload (new: plays one scheduler process with 14 fakes, 120 abusive and 10 ordinary clients, measures resident pages and the kernel's socket buffers by sock_diag), 64 MB, 384 descriptors, 8 s each. Change: idle records in lists by last use, the oldest dropped past a bound: 2,048 volumes that were sent something, 1,024 others, 16,384 empty queues, 8,192 requests, 1,024 cells without a server, 65,536 admissions. A volume that was dropped starts with what its limit was refilled with since. Empty queues release their memory; the mean await visits queues with a known await only; a key's queue goes with its last op. New action and log line: records of idle volumes dropped. Tests of policy, simwire, fuzzcorpus and docs pass. Times of ordinary clients and socket buffers are not mended by this.

--- a/actions.go
+++ b/actions.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Action is an instruction of a decision module to its host. It is one of Dispatch, Reject, Fail, Cancel, HealthCheck,
-// CloseIdle, Gossip, LogHealth, LogEstimateIgnored, Watch, Fetch and SetTimer.
+// CloseIdle, Gossip, LogHealth, LogEstimateIgnored, LogRecordsDropped, Watch, Fetch and SetTimer.
 type Action interface{ action() }
 
 // Dispatch sends an op to a disk server. Its Outcome follows.
@@ -47,6 +47,13 @@
 	Health, Previous Health
 }
 
+// LogRecordsDropped logs that records were dropped early since the last such action, because ops came for too many
+// volumes.
+type LogRecordsDropped struct {
+	Volumes int // records of volumes without open ops
+	Queues  int // records of their queues at disk servers
+}
+
 // LogEstimateIgnored logs that the saved estimate of a disk server is not used.
 type LogEstimateIgnored struct {
 	Server ServerID
@@ -77,6 +84,7 @@
 func (Gossip) action()             {}
 func (LogHealth) action()          {}
 func (LogEstimateIgnored) action() {}
+func (LogRecordsDropped) action()  {}
 func (Watch) action()              {}
 func (Fetch) action()              {}
 func (SetTimer) action()           {}
--- a/cmd/honeyplank/bench.go
+++ b/cmd/honeyplank/bench.go
@@ -4,8 +4,10 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"time"
 
 	"honeyplank/bench"
+	"honeyplank/bench/overload"
 )
 
 type benchCommand struct {
@@ -13,6 +15,8 @@
 	Hostile hostileCommand `cmd:"" help:"Measure the service of clients while others are abusive."`
 	Sources sourcesCommand `cmd:"" help:"Measure the cost of watching the endpoint list."`
 	Fleet   fleetCommand   `cmd:"" help:"Measure the cost of one scheduler, by fleet size."`
+
+	Overload overloadCommand `cmd:"" help:"Measure one scheduler of the platform while clients burden it."`
 }
 
 type hostileCommand struct {
@@ -123,3 +127,53 @@
 	fmt.Print(bench.FleetTable(costs))
 	return nil
 }
+
+type overloadCommand struct {
+	Abuse       []string `help:"Names of the ways in which clients burden the scheduler; default: each of them."`
+	Mixed       bool     `help:"Play them one after another with one scheduler, again and again, in seeded order."`
+	Clients     int      `help:"Abusive clients." default:"120"`
+	Seconds     float64  `help:"Length for each way, or of the whole mixed run." default:"8"`
+	Seed        int64    `help:"Seed of what the clients send." default:"1"`
+	Servers     int      `help:"Disk servers." default:"14"`
+	MemoryMB    int      `help:"Limit of the scheduler's memory, in MB." default:"64"`
+	Descriptors int      `help:"Limit of the scheduler's descriptors." default:"384"`
+	ValueBytes  int      `help:"Bytes of the values of disk servers." default:"16384"`
+	Log         string   `help:"File for the log of the scheduler." placeholder:"FILE"`
+}
+
+// Run starts this program as a scheduler and measures it, once for each way or once for all.
+func (c *overloadCommand) Run() error {
+	abuses, err := overload.Select(c.Abuse)
+	if err != nil {
+		return usageError{err}
+	}
+	options := overload.Options{
+		Seed: c.Seed, Length: time.Duration(c.Seconds * float64(time.Second)), Clients: c.Clients, Servers: c.Servers,
+		MemoryMB: c.MemoryMB, Descriptors: c.Descriptors, ValueBytes: c.ValueBytes,
+	}
+	if options.Program, err = os.Executable(); err != nil {
+		return err
+	}
+	if c.Log != "" {
+		file, err := os.Create(c.Log)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = file.Close() }() // written by the scheduler
+		options.Log = file
+	}
+	plays := overload.OneByOne(abuses)
+	if c.Mixed {
+		plays = [][]overload.Abuse{overload.Mix(abuses, options.Length, c.Seed)}
+	}
+	ctx, stop := signalContext()
+	defer stop()
+	for _, options.Abuses = range plays {
+		report, err := overload.Run(ctx, options)
+		if err != nil {
+			return err
+		}
+		fmt.Println(report)
+	}
+	return nil
+}
--- a/fake/resp/disk.go
+++ b/fake/resp/disk.go
@@ -59,6 +59,7 @@
 	mu       sync.Mutex // guards the fields below
 	faults   Faults
 	commands []Command
+	observer func(Command)  // gets the commands in place of commands; nil: none
 	opened   int            // number of connections ever opened
 	conns    map[*conn]bool // open connections
 }
@@ -105,10 +106,23 @@
 	return slices.Clone(d.commands)
 }
 
-func (d *Disk) record(command Command) {
+// SetObserver makes the server call observe with each read and write, in place of recording it for Commands.
+func (d *Disk) SetObserver(observe func(Command)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.commands = append(d.commands, command)
+	d.observer = observe
+}
+
+func (d *Disk) record(command Command) {
+	d.mu.Lock()
+	observe := d.observer
+	if observe == nil {
+		d.commands = append(d.commands, command)
+	}
+	d.mu.Unlock()
+	if observe != nil {
+		observe(command)
+	}
 }
 
 // Connections returns the number of open connections and the number of connections ever opened.
--- a/gateway/actions.go
+++ b/gateway/actions.go
@@ -19,6 +19,8 @@
 			Msg("disk server health changed")
 	case honeyplank.LogEstimateIgnored:
 		g.log.Warn().Str("server", string(a.Server)).Str("reason", a.Reason).Msg("saved estimate ignored")
+	case honeyplank.LogRecordsDropped:
+		g.log.Warn().Int("volumes", a.Volumes).Int("queues", a.Queues).Msg("records of idle volumes dropped")
 	case honeyplank.Watch:
 		if a.Enabled {
 			g.startWatch()
--- a/internal/simwire/actions.go
+++ b/internal/simwire/actions.go
@@ -64,6 +64,9 @@
 	case honeyplank.LogEstimateIgnored:
 		message.Op = "print"
 		message.Text = fmt.Sprintf("server %s: saved estimate ignored: %s", action.Server, action.Reason)
+	case honeyplank.LogRecordsDropped:
+		message.Op = "print"
+		message.Text = fmt.Sprintf("records dropped: %d volumes, %d queues", action.Volumes, action.Queues)
 	case honeyplank.Watch:
 		message.Op, message.Enabled = "track", &action.Enabled
 	case honeyplank.Fetch:
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -27,7 +27,7 @@
 // earlierAttempt is the last op of a request identity, with the time that its client had left at
 // the first attempt.
 type earlierAttempt struct {
-	op       *op
+	op       *op // nil once it is answered
 	timeLeft time.Duration
 	expires  time.Duration
 }
@@ -42,7 +42,7 @@
 	if e.ops[event.ID] != nil {
 		return
 	}
-	e.admissions = append(dropBefore(e.admissions, e.now-e.settings.RetryBudget.Window), e.now)
+	e.recordAdmission()
 	op := &op{Op: event, admissionDraw: e.rng.Float64(), sampledAt: e.now}
 	e.unitsAdmitted += event.Units
 	e.unitsSquaredAdmitted += event.Units * event.Units
@@ -67,13 +67,24 @@
 	}
 }
 
+// recordAdmission counts an admission for the retry budget.
+func (e *Engine) recordAdmission() {
+	if !e.settings.RetryBudget.Limited {
+		return
+	}
+	e.admissions = append(dropBefore(e.admissions, e.now-e.settings.RetryBudget.Window), e.now)
+	e.admissions = e.admissions[max(0, len(e.admissions)-maxAdmissions):]
+}
+
 // registerOp links an op to the record of its volume and appends the op to the list of queued ops.
 func (e *Engine) registerOp(op *op) {
 	record := e.volumes[op.Volume]
 	if record == nil {
-		record = &volume{plan: op.Plan, refilledAt: e.noDispatchSince(), reserve: math.Inf(1)}
+		record = &volume{id: op.Volume, plan: op.Plan, refilledAt: e.noDispatchSince(), reserve: math.Inf(1)}
+		record.recency.record = record
 		e.volumes[op.Volume] = record
 	}
+	record.recency.remove() // it has an open op now
 	record.instances, record.lastSeen = op.Instances, e.now
 	if record.instances < 1 {
 		record.instances = max(e.settings.Instances, 1)
@@ -86,7 +97,7 @@
 
 // alreadyWaited returns how long the client of an op has waited since its first attempt. If an
 // earlier op of the same identity failed, this is the time left at the first attempt minus the time
-// left now.
+// left now. Limitation: past maxEarlierAttempts identities, an attempt counts as the first one.
 func (e *Engine) alreadyWaited(op *op) time.Duration {
 	total := e.settings.opType(op.Type).OpTimeout
 	if !op.HasKey || total <= 0 {
@@ -94,11 +105,14 @@
 	}
 	left := op.Deadline - e.now
 	attempt := e.earlierAttempts[identityOf(op)]
-	if attempt == nil || !attempt.op.answered || e.now >= attempt.expires {
+	if attempt == nil && len(e.earlierAttempts) >= maxEarlierAttempts {
+		return 0
+	}
+	if attempt == nil || attempt.op != nil || e.now >= attempt.expires {
 		attempt = &earlierAttempt{timeLeft: left, expires: e.now + total}
 		e.earlierAttempts[identityOf(op)] = attempt
 	}
-	attempt.op = op
+	attempt.op, op.attempt = op, attempt
 	return max(attempt.timeLeft-left, 0)
 }
 
@@ -115,7 +129,7 @@
 		return
 	}
 	e.unassigned--
-	chosen.enqueue(op)
+	e.enqueue(op, chosen)
 	e.markActive(chosen)
 	op.queue.lastSeen = e.now
 }
--- a/policy/demand.go
+++ b/policy/demand.go
@@ -52,23 +52,39 @@
 	if e.settings.SlowStart.Window > 0 {
 		recent = min(memory, e.settings.SlowStart.Window)
 	}
-	cell := e.demandByCell[op.Cell]
-	if cell == nil {
-		cell = &cellDemand{}
-		e.demandByCell[op.Cell] = cell
-	}
 	var units unitsByClass
 	units[class] = op.Units
 	for i := range e.demand {
 		e.demand[i].add(e.now, units[i], recent)
-		cell.requested[i].add(e.now, units[i], cellMemoryFactor*memory)
 	}
 	fleetUnits := op.Units * float64(op.volume.instances)
 	e.cellBoundDemand.add(e.now, op.Units, cellMemoryFactor*memory)
 	e.fleetDemand.add(e.now, fleetUnits, cellMemoryFactor*memory)
+	cell := e.demandOfCell(op.Cell)
+	if cell == nil {
+		return
+	}
+	for i := range e.demand {
+		cell.requested[i].add(e.now, units[i], cellMemoryFactor*memory)
+	}
 	cell.fleet.add(e.now, fleetUnits, cellMemoryFactor*memory)
 }
 
+// demandOfCell returns the record of the demand on a cell. It creates the record if there is none.
+// It returns nil if there are too many records of cells without a server.
+func (e *Engine) demandOfCell(number int) *cellDemand {
+	cell := e.demandByCell[number]
+	if cell != nil {
+		return cell
+	}
+	if len(e.serversByCell[number]) == 0 && len(e.demandByCell) >= maxUnknownCells+len(e.serversByCell) {
+		return nil
+	}
+	cell = &cellDemand{}
+	e.demandByCell[number] = cell
+	return cell
+}
+
 // recordResample adds a queued op with a new admission draw to the demand on its server, because
 // random admission treats it as another op.
 func (e *Engine) recordResample(op *op) {
--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -53,8 +53,8 @@
 
 	// Queued ops.
 	queuedCount   int
-	queues        []*volumeQueue // in ring order
 	nonEmpty      []*volumeQueue // those with queued ops, in ring order
+	awaited       []*volumeQueue // those whose await is known
 	queueByVolume map[*volume]*volumeQueue
 	queueSerial   int // of the newest queue
 
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -67,6 +67,12 @@
 	serial          int // serial number of the op queued last
 	unassigned      int // number of queued ops without a server
 	volumes         map[int64]*volume
+	unusedVolumes   recencyList[volume]      // without open ops, nothing was sent for them
+	idleVolumes     recencyList[volume]      // without open ops, something was sent for them
+	idleQueues      recencyList[volumeQueue] // that are empty
+	droppedDispatch time.Duration            // last dispatch for a volume whose record was dropped early
+	dropped         honeyplank.LogRecordsDropped
+	droppedLoggedAt time.Duration
 	keyQueues       map[int64]*keyQueue
 	earlierAttempts map[requestIdentity]*earlierAttempt
 	admissions      []time.Duration // times of admissions within the retry budget's window
@@ -183,6 +189,7 @@
 	if e.now-e.evictedAt >= evictInterval {
 		e.evictedAt = e.now
 		e.evictIdle(idleExpiry)
+		e.logDropped()
 	}
 }
 
--- a/policy/ops.go
+++ b/policy/ops.go
@@ -17,11 +17,12 @@
 	responseStarted bool
 	answered        bool // answered, or its client has gone; the record is kept while a dispatch has no outcome
 	volume          *volume
-	server          *server      // at which it is queued, or to which it was last dispatched
-	queue           *volumeQueue // that holds it; nil while it is dispatched or unassigned
-	keyQueue        *keyQueue    // of an ordered type; else nil
-	queuedSerial    int          // position in the list of queued ops; 0: not in the list
-	previousQueued  *op          // neighbours in the list of queued ops
+	attempt         *earlierAttempt // of its identity; nil: none
+	server          *server         // at which it is queued, or to which it was last dispatched
+	queue           *volumeQueue    // that holds it; nil while it is dispatched or unassigned
+	keyQueue        *keyQueue       // of an ordered type; else nil
+	queuedSerial    int             // position in the list of queued ops; 0: not in the list
+	previousQueued  *op             // neighbours in the list of queued ops
 	nextQueued      *op
 	isRetry         bool // queued for another dispatch: it precedes the other ops of its volume
 }
@@ -67,16 +68,30 @@
 // finishOp ends an op. Its record stays while a dispatch has no outcome, because the next op of its
 // key waits for that outcome.
 func (e *Engine) finishOp(op *op) {
-	op.dequeue()
+	e.dequeue(op)
 	e.removeQueued(op)
 	op.answered = true
+	if op.attempt != nil && op.attempt.op == op {
+		op.attempt.op = nil
+	}
 	if op.isOutstanding() {
 		return
 	}
 	delete(e.ops, op.ID)
-	op.volume.openOps--
+	if op.volume.openOps--; op.volume.openOps == 0 {
+		e.markIdle(op.volume)
+	}
 	if op.keyQueue != nil {
-		op.keyQueue.ops = without(op.keyQueue.ops, op)
+		e.leaveKeyQueue(op)
+	}
+}
+
+// leaveKeyQueue removes an op from its key's queue, and drops the queue if it keeps nothing.
+func (e *Engine) leaveKeyQueue(op *op) {
+	queue := op.keyQueue
+	queue.ops = without(queue.ops, op)
+	if len(queue.ops) == 0 && e.now >= queue.settledAt && e.keyQueues[op.Key] == queue {
+		delete(e.keyQueues, op.Key)
 	}
 }
 
--- a/policy/outcomes.go
+++ b/policy/outcomes.go
@@ -45,6 +45,7 @@
 // dispatch sends an op to a server, and takes the op's units from the buckets of its volume.
 func (e *Engine) dispatch(op *op, server *server) {
 	volume := op.volume
+	volume.lastDispatch = e.now
 	if len(op.dispatches) > 0 {
 		e.retries = append(e.retries, e.now)
 		server.retryCredit--
@@ -67,7 +68,7 @@
 // recordDispatch adds a dispatch to the records of the op and the server.
 func (e *Engine) recordDispatch(op *op, sent opDispatch) {
 	server := sent.server
-	op.dequeue()
+	e.dequeue(op)
 	e.removeQueued(op)
 	op.server, op.isRetry = server, false
 	outstanding := outstandingDispatch{op: op, index: len(op.dispatches), sentAt: sent.sentAt}
@@ -164,9 +165,7 @@
 	e.lostShare -= lostShareWeight * e.lostShare
 	e.recordLatency(server, op.Type, outcome.Elapsed.Seconds())
 	server.recordLatencyPerUnit(outcome.Elapsed.Seconds() / max(op.Units, 1))
-	queue := server.queueOf(op.volume)
-	queue.await.observe(e.now)
-	queue.lastSeen = e.now
+	e.recordAwait(server.queueOf(op.volume))
 	op.volume.servedHere.add(e.now, op.Units, e.usageMemory())
 	if outcome.QuotaUsed > 0 {
 		share := float64(outcome.QuotaUsed-1) / 100
@@ -174,6 +173,19 @@
 	}
 }
 
+// recordAwait records the completion of an op of a queue.
+func (e *Engine) recordAwait(queue *volumeQueue) {
+	known := queue.await.sum > 0
+	queue.await.observe(e.now)
+	if queue.await.sum > 0 && !known {
+		queue.server.awaited = append(queue.server.awaited, queue)
+	}
+	queue.lastSeen = e.now
+	if len(queue.ops) == 0 {
+		e.markQueueIdle(queue)
+	}
+}
+
 // recordLatencyPerUnit records the latency per unit of an answer, in seconds, and adapts the window
 // to it. The window grows by one op if the latency is near its best and, since the last growth, as
 // many answers have arrived as the window has ops. The window is halved once when the latency rises
--- a/policy/queues.go
+++ b/policy/queues.go
@@ -9,16 +9,18 @@
 // volumeQueue holds the ops of a volume that wait for dispatch to a server.
 type volumeQueue struct {
 	volume        *volume
+	server        *server
 	await         decayedMean   // times between completions (the paper's await)
 	thinkTime     decayedMean   // times between arrivals (the paper's thinkt)
 	demand        decayedRate   // units that arrived
 	ops           []*op         // in the order of orderedBefore
 	serial        int           // position in the server's ring of queues
-	opsByKey      map[int64]int // number of queued ops for each key
+	opsByKey      map[int64]int // number of queued ops for each key; nil if there is none
 	smallestUnits float64       // lower bound of the queued ops' units
 	retryCount    int           // queued ops that have been dispatched before
 	round         int           // round in which it was last served
 	lastSeen      time.Duration
+	recency       recencyNode[volumeQueue] // listed while it is empty
 }
 
 // queueOf returns a volume's queue for a server. It creates the queue if there is none.
@@ -29,15 +31,17 @@
 			server.queueByVolume = map[*volume]*volumeQueue{}
 		}
 		server.queueSerial++
-		queue = &volumeQueue{volume: owner, round: -1, serial: server.queueSerial, opsByKey: map[int64]int{}}
-		server.queueByVolume[owner], server.queues = queue, append(server.queues, queue)
+		queue = &volumeQueue{volume: owner, server: server, round: -1, serial: server.queueSerial}
+		queue.recency.record = queue
+		server.queueByVolume[owner] = queue
 	}
 	return queue
 }
 
 // enqueue puts an op into its volume's queue for a server.
-func (server *server) enqueue(op *op) {
+func (e *Engine) enqueue(op *op, server *server) {
 	op.server, op.queue = server, server.queueOf(op.volume)
+	op.queue.recency.remove()
 	if len(op.queue.ops) == 0 {
 		server.nonEmpty = slices.Insert(server.nonEmpty, server.indexAfterSerial(op.queue.serial), op.queue)
 	}
@@ -46,7 +50,7 @@
 }
 
 // dequeue takes an op out of its queue, if it is in one.
-func (op *op) dequeue() {
+func (e *Engine) dequeue(op *op) {
 	if op.queue == nil {
 		return
 	}
@@ -54,11 +58,24 @@
 	if len(op.queue.ops) == 0 {
 		i := op.server.indexAfterSerial(op.queue.serial - 1)
 		op.server.nonEmpty = slices.Delete(op.server.nonEmpty, i, i+1)
+		op.queue.release()
+		e.markQueueIdle(op.queue)
 	}
 	op.server.queuedCount--
 	op.queue = nil
 }
 
+// keptQueueCapacity is the number of ops for which an empty queue keeps memory.
+const keptQueueCapacity = 16
+
+// release releases the memory of an empty queue that depends on the number of its ops.
+func (queue *volumeQueue) release() {
+	queue.opsByKey = nil
+	if cap(queue.ops) > keptQueueCapacity {
+		queue.ops = nil
+	}
+}
+
 func (queue *volumeQueue) insert(op *op) {
 	if len(queue.ops) == 0 || op.Units < queue.smallestUnits {
 		queue.smallestUnits = op.Units
@@ -68,9 +85,13 @@
 	if len(op.dispatches) > 0 {
 		queue.retryCount++
 	}
-	if op.HasKey {
-		queue.opsByKey[op.Key]++
+	if !op.HasKey {
+		return
+	}
+	if queue.opsByKey == nil {
+		queue.opsByKey = map[int64]int{}
 	}
+	queue.opsByKey[op.Key]++
 }
 
 func (queue *volumeQueue) remove(op *op) {
@@ -127,13 +148,14 @@
 
 // unassignAll empties the queues of a server. Their ops stay queued without a server.
 func (e *Engine) unassignAll(server *server) {
-	for _, queue := range server.queues {
+	for _, queue := range server.nonEmpty {
 		for _, op := range queue.ops {
 			op.server, op.queue = nil, nil
 		}
 		e.unassigned += len(queue.ops)
 		queue.ops, queue.retryCount = nil, 0
-		clear(queue.opsByKey)
+		queue.release()
+		e.markQueueIdle(queue)
 	}
 	server.servedQueue, server.sliceState, server.queuedCount, server.nonEmpty = nil, sliceIdle, 0, nil
 }
--- a/policy/quota.go
+++ b/policy/quota.go
@@ -14,6 +14,7 @@
 // volume is the record of a volume: the units that this instance may send for it, and its ranking
 // of servers.
 type volume struct {
+	id              int64
 	plan            int
 	instances       int     // number of instances through which its ops come
 	reserve         float64 // units in this instance's bucket of the reserve
@@ -28,11 +29,15 @@
 	joinedSeen      int            // number of joinedServers that topServers takes into account
 	openOps         int            // ops admitted and not yet finished
 	lastSeen        time.Duration
+	lastDispatch    time.Duration // 0: nothing has been sent for it
+	recency         recencyNode[volume]
 }
 
 // noDispatchSince returns a time since which this process has certainly dispatched nothing for a
 // volume without a record.
-func (e *Engine) noDispatchSince() time.Duration { return max(e.startedAt, e.now-idleExpiry) }
+func (e *Engine) noDispatchSince() time.Duration {
+	return max(e.startedAt, e.now-idleExpiry, e.droppedDispatch)
+}
 
 // refillBuckets refills a volume's buckets up to the current time. The limit's bucket refills at an
 // even share among the volume's instances, the reserve's bucket at reserveRefillRate.
--- a/policy/slices.go
+++ b/policy/slices.go
@@ -263,11 +263,9 @@
 // there are none.
 func (server *server) meanAwait() time.Duration {
 	var sum, known time.Duration
-	for _, queue := range server.queues {
-		if queue.await.sum > 0 {
-			sum += queue.await.value()
-			known++
-		}
+	for _, queue := range server.awaited {
+		sum += queue.await.value()
+		known++
 	}
 	return sum / max(known, 1)
 }
--- a/policy/slices_test.go
+++ b/policy/slices_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -63,13 +65,13 @@
 			fleet.admit("other", 0, 8, 2, 0)
 			engine := fleet.instances[0]
 			server := engine.servers["osd0"]
-			for _, queue := range server.queues {
+			for _, queue := range server.queueByVolume {
 				queue.await, queue.round = meanOf(test.otherAwait), server.round-1
 			}
 			served := server.servedQueue
 			served.thinkTime, served.await, served.round = meanOf(test.thinkTime), meanOf(test.ownAwait), server.round
 			slow := &volumeQueue{volume: &volume{}, await: meanOf(100 * ms)}
-			server.queues = append(server.queues, slow)
+			server.awaited = append(slices.Collect(maps.Values(server.queueByVolume)), slow)
 			server.sliceEnd, server.outstanding = engine.now+50*ms, 3
 			if got := engine.nextSignal(server); got != test.want {
 				t.Errorf("signal %d, want %d", got, test.want)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -270,6 +270,8 @@
 			Msg("disk server health changed")
 	case honeyplank.LogEstimateIgnored:
 		s.log.Info().Str("server", string(a.Server)).Str("reason", a.Reason).Msg("saved estimate ignored")
+	case honeyplank.LogRecordsDropped:
+		s.log.Warn().Int("volumes", a.Volumes).Int("queues", a.Queues).Msg("records of idle volumes dropped")
 	case honeyplank.Watch:
 		if a.Enabled {
 			s.startWatch()
