inflight: an id that may have run for a client that has left is not admitted again

Cause: the tracker forgot an op once its client had gone and its dispatches had outcomes. By the protocol every request carries a new id. Check corrected: TestDuplicateID asked that the id of an op that had run for a client that left be admitted again, which is the fault. It now asks that it is not, and, as before, that the id of an answered op is.

--- a/inflight/dispatch.go
+++ b/inflight/dispatch.go
@@ -41,6 +41,7 @@
 	*d = Dispatch{Server: action.Server, Started: t.loop.Now(), tracker: t, op: o, index: len(o.dispatches)}
 	o.dispatches = append(o.dispatches, d)
 	o.outstanding++
+	t.outstanding++
 	t.Counts.Dispatches++
 	d.Deadline = o.deadline
 	if action.Timeout > 0 {
@@ -122,6 +123,7 @@
 	t, o := d.tracker, d.op
 	t.loop.Cancel(&d.timer)
 	o.outstanding--
+	t.outstanding--
 	answers := code == honeyplank.Succeeded && !o.answered
 	if answers {
 		t.Counts.Succeeded++
--- a/inflight/tracker.go
+++ b/inflight/tracker.go
@@ -68,7 +68,9 @@
 	events          []honeyplank.Event // events that are not handled yet
 	delivering      bool               // whether Deliver is running
 	ops             map[honeyplank.OpID]*op
+	departed        departedIDs
 	unansweredCount int
+	outstanding     int // number of dispatches without an outcome
 	lastSequence    uint64
 }
 
@@ -97,9 +99,9 @@
 }
 
 // Admit admits an op and delivers it to the module. It returns false and does nothing if an op with the same id is
-// still in flight.
+// still in flight, or may have run for a client that has left.
 func (t *Tracker) Admit(event honeyplank.Op, client Client) bool {
-	if t.ops[event.ID] != nil {
+	if t.ops[event.ID] != nil || t.Departed(event.ID) {
 		return false
 	}
 	t.lastSequence++
@@ -114,12 +116,24 @@
 func (t *Tracker) ClientGone(id honeyplank.OpID) {
 	if o := t.unansweredOp(id); o != nil {
 		t.Counts.ClientsGone++
+		if t.mayHaveRun(o) {
+			t.departed.add(id)
+		}
 		t.markAnswered(o)
 		t.Deliver(honeyplank.ClientGone{Op: id})
 		t.abandon(o)
 	}
 }
 
+// Departed reports whether an id is that of an op that may have run for a client that has left. Only the ids of the
+// last such ops are remembered.
+func (t *Tracker) Departed(id honeyplank.OpID) bool { return t.departed.known[id] }
+
+// mayHaveRun reports whether a dispatch of an op has been sent. Of those that have ended this is assumed.
+func (t *Tracker) mayHaveRun(o *op) bool {
+	return slices.ContainsFunc(o.dispatches, func(d *Dispatch) bool { return d.ended || t.sender.Written(d) })
+}
+
 // FailAll answers each op that has no answer yet with Failed, in the order of admission.
 func (t *Tracker) FailAll() {
 	var unanswered []*op
@@ -145,13 +159,7 @@
 func (t *Tracker) Unanswered() int { return t.unansweredCount }
 
 // Outstanding returns the number of dispatches without an outcome.
-func (t *Tracker) Outstanding() int {
-	count := 0
-	for _, o := range t.ops {
-		count += o.outstanding
-	}
-	return count
-}
+func (t *Tracker) Outstanding() int { return t.outstanding }
 
 // Deliver passes an event to the module and executes the resulting actions. Events that these actions cause are handled
 // afterwards, in the order in which they occur.
--- a/inflight/tracker_test.go
+++ b/inflight/tracker_test.go
@@ -191,7 +191,7 @@
 }
 
 // TestDuplicateID checks that an id is not admitted while an op with this id has no answer or a dispatch without an
-// outcome.
+// outcome, nor after it ran for a client that has left. The id of an answered op is admitted again.
 func TestDuplicateID(t *testing.T) {
 	h := newHarness(t)
 	first, again := h.admit("a", time.Second), &recordingClient{}
@@ -206,7 +206,13 @@
 	h.sent[0].Finish(honeyplank.Succeeded, nil, Feedback{})
 	expectAnswers(t, first)
 	expectAnswers(t, again)
-	if !h.tracker.Admit(honeyplank.Op{ID: "a", Deadline: time.Hour}, again) {
+	if h.tracker.Admit(honeyplank.Op{ID: "a", Deadline: time.Hour}, again) {
+		t.Error("the id of an op that ran for a client that has left is admitted again")
+	}
+	answered := h.admit("b", time.Second)
+	h.sent[1].Finish(honeyplank.Succeeded, nil, Feedback{})
+	expectAnswers(t, answered, "succeeded ")
+	if !h.tracker.Admit(honeyplank.Op{ID: "b", Deadline: time.Hour}, again) {
 		t.Error("the id of a finished op is not admitted again")
 	}
 }
@@ -426,3 +432,36 @@
 		r.t.Fatalf("%d dispatches have outcomes, want all %d", len(r.outcomes), dispatches)
 	}
 }
+
+// TestIDOfDepartedClient guards against the failure that an op runs twice because its id comes again after its client
+// has left. An op of which nothing was sent may come again.
+func TestIDOfDepartedClient(t *testing.T) {
+	h := newHarness(t)
+	h.onSend = func(d *Dispatch) { h.written[d] = d.Op() != "unsent" }
+	admit := func(id honeyplank.OpID) bool {
+		return h.tracker.Admit(honeyplank.Op{ID: id, Deadline: h.loop.Now() + time.Second}, &recordingClient{})
+	}
+	for _, id := range []honeyplank.OpID{"sent", "unsent"} {
+		admit(id)
+		h.tracker.ClientGone(id)
+		h.sent[len(h.sent)-1].Cancel()
+	}
+	if admit("sent") || !h.tracker.Departed("sent") {
+		t.Error("the id of an op that may have run was admitted again after its client had left")
+	}
+	if !admit("unsent") {
+		t.Error("the id of an op that was not sent was not admitted again")
+	}
+	for n := range 2 * maxDeparted {
+		id := honeyplank.OpID(fmt.Sprint(n))
+		admit(id)
+		h.tracker.ClientGone(id)
+		h.sent[len(h.sent)-1].Cancel()
+	}
+	if n := len(h.tracker.departed.known); n != maxDeparted || len(h.tracker.departed.order) != maxDeparted {
+		t.Errorf("%d ids are remembered, want %d", n, maxDeparted)
+	}
+	if h.tracker.Departed("sent") {
+		t.Error("an id is remembered although many others came after it")
+	}
+}
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -36,7 +36,10 @@
 // requiredOptions are the names of the options that a command has to contain.
 var requiredOptions = []string{"c", "t", "d", "volume", "units", "shard", "hosts"}
 
-var errDuplicateID = errors.New("the id is that of an open request")
+var (
+	errDuplicateID = errors.New("the id is that of an open request")
+	errDepartedID  = errors.New("the id is that of a request whose client has left, which may have run")
+)
 
 // request is a command of a client, which gets exactly one reply. It is the tracker's interface to the client of the
 // op.
@@ -101,7 +104,9 @@
 	c := r.client
 	op, err := r.parseOp(received)
 	if err == nil && !c.scheduler.tracker.Admit(op, r) {
-		err = errDuplicateID
+		if err = errDuplicateID; c.scheduler.tracker.Departed(op.ID) {
+			err = errDepartedID
+		}
 	}
 	if err != nil {
 		c.scheduler.errorReplies++
