scheduler: clients share the loop's time in an overload, and have shorter turns

Cause: a client's 64 KB of commands were handled in a row, and only clients without ops were limited; an op cost 0.1 to 0.4 ms, since each pass over a server's queues worked out the server's limits anew for each queue. Connections that close after a protocol error give way first.

--- a/bench/overload/abuse.go
+++ b/bench/overload/abuse.go
@@ -30,6 +30,7 @@
 	slowInterval   = 50 * time.Millisecond // between two bytes of a client that writes slowly
 	leaveCommands  = 300                   // commands that a client sends before it leaves
 	smallBuffer    = 4096
+	floodBuffer    = 64 << 10 // bytes that the kernel buffers of a flood
 )
 
 // Abuses are all ways, in the order of the pictures that operators have reported.
@@ -122,6 +123,7 @@
 }
 
 func (a *abuser) floodWithoutReading(command func() []byte) error {
+	a.limitSendBuffer()
 	var batch []byte
 	for time.Now().Before(a.end) {
 		batch = batch[:0]
@@ -135,6 +137,14 @@
 	return nil
 }
 
+// limitSendBuffer keeps the kernel from taking megabytes of a flood at its start, which would burden the machine and
+// not the scheduler.
+func (a *abuser) limitSendBuffer() {
+	if conn, ok := a.conn.(*net.TCPConn); ok {
+		_ = conn.SetWriteBuffer(floodBuffer) // else more is buffered
+	}
+}
+
 // discardReplies reads until the connection ends.
 func (a *abuser) discardReplies() {
 	for b := make([]byte, maxValueBytes); ; {
@@ -200,6 +210,7 @@
 func (a *abuser) floodWrites() error {
 	body := bytes.Repeat([]byte("w"), maxValueBytes)
 	go a.discardReplies()
+	a.limitSendBuffer()
 	for time.Now().Before(a.end) {
 		r := a.next()
 		r.class, r.timeout, r.body = "write", writeTimeout, body
--- a/bench/overload/memory.go
+++ b/bench/overload/memory.go
@@ -173,7 +173,8 @@
 	const width = 4 // bytes of a value
 	for _, i := range usedBuffers {
 		if (i+1)*width <= len(values) {
-			sum += int(binary.NativeEndian.Uint32(values[i*width:]))
+			used := int32(binary.NativeEndian.Uint32(values[i*width:]))
+			sum += int(max(used, 0)) // the reserved bytes are negative for moments
 		}
 	}
 	return sum
--- a/bench/overload/overload.go
+++ b/bench/overload/overload.go
@@ -35,11 +35,12 @@
 type Report struct {
 	Abuse      string
 	LimitMB    int
-	Peak       Memory // the largest total
-	First      int    // total at the start of the abuse, in bytes
-	Last       int    // total at its end, in bytes
-	Crashed    bool   // the scheduler has ended by itself
-	AbuseSent  int64  // commands of abusive clients
+	Peak       Memory        // the largest total
+	PeakAt     time.Duration // since the start of the abuse
+	First      int           // total at the start of the abuse, in bytes
+	Last       int           // total at its end, in bytes
+	Crashed    bool          // the scheduler has ended by itself
+	AbuseSent  int64         // commands of abusive clients
 	Ordinary   Tally
 	SentOnLate int // commands that reached a disk server over leaveSlack after their client had left
 }
@@ -113,7 +114,7 @@
 			r.First = memory.Total()
 		}
 		if r.Last = memory.Total(); memory.Total() > r.Peak.Total() {
-			r.Peak = memory
+			r.Peak, r.PeakAt = memory, time.Since(start)
 		}
 	}
 }
@@ -148,10 +149,11 @@
 		state = ", ENDED"
 	}
 	o := &r.Ordinary
-	return fmt.Sprintf("%-20s peak %5.1f of %d MB (resident %5.1f, sockets %5.1f), %5.1f to %5.1f%s; "+
+	return fmt.Sprintf("%-20s peak %5.1f of %d MB (resident %5.1f, sockets %5.1f, after %v), %5.1f to %5.1f%s; "+
 		"%d commands; ordinary: %d served, %d rejected, %d failed, %d late, %d unanswered, %d refused, "+
 		"p50 %v, p99 %v, max %v; %d sent on",
-		r.Abuse, mb(r.Peak.Total()), r.LimitMB, mb(r.Peak.Resident), mb(r.Peak.Sockets), mb(r.First), mb(r.Last), state,
+		r.Abuse, mb(r.Peak.Total()), r.LimitMB, mb(r.Peak.Resident), mb(r.Peak.Sockets),
+		r.PeakAt.Round(100*time.Millisecond), mb(r.First), mb(r.Last), state,
 		r.AbuseSent, o.Served, o.Rejected, o.Failed, o.Late, o.Unanswered, o.Refused,
 		o.Quantile(0.5).Round(time.Millisecond), o.Quantile(0.99).Round(time.Millisecond),
 		o.Quantile(1).Round(time.Millisecond), r.SentOnLate)
--- a/eventloop/loop.go
+++ b/eventloop/loop.go
@@ -119,6 +119,9 @@
 // SinceStart converts a wall-clock time to a time of the loop's clock.
 func (l *Loop) SinceStart(at time.Time) time.Duration { return at.Sub(l.start) }
 
+// RoundAge returns the time since the loop last looked for events. If it is long, events have waited for as long.
+func (l *Loop) RoundAge() time.Duration { return l.Now() - l.lastPoll }
+
 // Stop makes Run return after the current round. It must be called on the loop, or before Run.
 func (l *Loop) Stop() { l.stopping = true }
 
--- a/policy/slices.go
+++ b/policy/slices.go
@@ -106,11 +106,12 @@
 // server replaces the longest seek as an upper bound.
 func (e *Engine) shorterAwaitQueue(server *server) *volumeQueue {
 	upperBound, servedAwait := server.meanAwait(), server.servedQueue.await.value()
+	limits := e.serverLimits(server)
 	for i, from := 0, server.ringStart(); i < len(server.nonEmpty); i++ {
 		queue := server.nonEmpty[(from+i)%len(server.nonEmpty)]
 		await := queue.await.value()
 		eligible := queue != server.servedQueue && queue.round < server.round
-		if eligible && await <= servedAwait && await < upperBound && e.chooseOp(server, queue) != nil {
+		if eligible && await <= servedAwait && await < upperBound && e.chooseOpWithin(server, queue, limits) != nil {
 			return queue
 		}
 	}
@@ -120,10 +121,13 @@
 // nextQueue returns the queue whose slice comes next, in ring order, or nil. Queues with an op
 // within their reserve go first, then queues not served this round.
 func (e *Engine) nextQueue(server *server) (next *volumeQueue) {
-	lowestRank := math.MaxInt
+	if len(server.nonEmpty) == 0 {
+		return nil
+	}
+	lowestRank, limits := math.MaxInt, e.serverLimits(server)
 	for i, from := 0, server.ringStart(); i < len(server.nonEmpty); i++ {
 		queue := server.nonEmpty[(from+i)%len(server.nonEmpty)]
-		op := e.chooseOp(server, queue)
+		op := e.chooseOpWithin(server, queue, limits)
 		if queue == server.servedQueue || op == nil {
 			continue
 		}
@@ -189,8 +193,16 @@
 // chooseOp returns the op of a queue to dispatch next: a retry, then an op with the key of the last
 // op sent, then the op whose target latency is over first. It returns nil if no op may be
 // dispatched now.
-func (e *Engine) chooseOp(server *server, queue *volumeQueue) (chosen *op) {
-	if e.nothingDispatchable(server, queue) {
+func (e *Engine) chooseOp(server *server, queue *volumeQueue) *op {
+	if len(queue.ops) == 0 {
+		return nil
+	}
+	return e.chooseOpWithin(server, queue, e.serverLimits(server))
+}
+
+// chooseOpWithin is chooseOp with the limits of the server, which are the same for all its queues.
+func (e *Engine) chooseOpWithin(server *server, queue *volumeQueue, limits serverLimits) (chosen *op) {
+	if e.nothingDispatchable(server, queue, limits) {
 		return nil
 	}
 	continuesRun := queue.opsByKey[server.lastKey] > 0
@@ -222,14 +234,32 @@
 	return op.target < other.target
 }
 
+// serverLimits are limits of a server that hold for all its queues until it is sent something or
+// answers.
+type serverLimits struct {
+	earliestAnswer time.Duration          // clock time, for ops of any type
+	concurrency    [demandClasses]float64 // the largest ones over all op types
+}
+
+// serverLimits returns the current limits of a server.
+func (e *Engine) serverLimits(server *server) serverLimits {
+	limits := serverLimits{earliestAnswer: e.now + e.earliestAnswerOfAnyType(server)}
+	if server.outstanding > 0 {
+		for class := range limits.concurrency {
+			limits.concurrency[class] = e.largestConcurrencyLimit(server, demandClass(class))
+		}
+	}
+	return limits
+}
+
 // nothingDispatchable reports whether chooseOp certainly returns nil for a queue: the server may get
 // no op, all answers would be too late, or the window or the limit is used up for all ops. It is
 // cheaper than chooseOp, which checks all rules for each op.
-func (e *Engine) nothingDispatchable(server *server, queue *volumeQueue) bool {
+func (e *Engine) nothingDispatchable(server *server, queue *volumeQueue, limits serverLimits) bool {
 	if len(queue.ops) == 0 || server.health == honeyplank.HealthDown || e.halfOpenBusy(server) {
 		return true
 	}
-	if e.allAnswersTooLate(server, queue) {
+	if allAnswersTooLate(queue, limits.earliestAnswer) {
 		return true
 	}
 	e.refillBuckets(queue.volume)
@@ -239,7 +269,7 @@
 		if volume.reserve >= queue.smallestUnits {
 			class = reserveDemand
 		}
-		if float64(server.outstanding) >= e.largestConcurrencyLimit(server, class) {
+		if float64(server.outstanding) >= limits.concurrency[class] {
 			return true
 		}
 	}
@@ -247,10 +277,9 @@
 	return limited && queue.retryCount == 0 && volume.limit < queue.smallestUnits
 }
 
-// allAnswersTooLate reports whether the earliest answer of a server would come after the deadline of
-// each op of a queue. It checks the last op first, because that op usually has the most time left.
-func (e *Engine) allAnswersTooLate(server *server, queue *volumeQueue) bool {
-	earliest := e.now + e.earliestAnswerOfAnyType(server)
+// allAnswersTooLate reports whether the earliest answer would come after the deadline of each op of
+// a queue. It checks the last op first, because that op usually has the most time left.
+func allAnswersTooLate(queue *volumeQueue, earliest time.Duration) bool {
 	for i := len(queue.ops) - 1; i >= 0; i-- {
 		if earliest < queue.ops[i].Deadline {
 			return false
--- a/scheduler/client.go
+++ b/scheduler/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"honeyplank/eventloop"
@@ -16,6 +17,7 @@
 	maxOtherBytes   = 4096                 // bytes of a command without its body
 	maxPending      = 32                   // unanswered commands of one connection; further ones stay unread
 	maxReplyBacklog = maxPending * maxBody // bytes of pending and unsent replies from which no more commands are read
+	maxSmallBacklog = maxBody              // the same of unsent replies alone, see reachesBacklog
 
 	errorReadTime = 200 * time.Millisecond // for the client to read an error before the connection closes
 
@@ -54,13 +56,16 @@
 	pending        []*request    // commands whose reply has not been written, in order
 	lastActivity   time.Duration // time of the last complete command, reply or skipped eviction
 	commandStarted time.Duration // when the first part of an incomplete command was received; 0 if there is none
-	hasSentOp      bool          // at least one of its ops was admitted, or rejected for lack of memory
+	hasSentOp      bool          // at least one of its ops was admitted, or rejected before admission
 	paused         bool          // reading is paused
 	throttled      bool          // reading is paused because the client used too much time of the loop
 	loopTime       time.Duration // loop time used since its last op or throttling
-	closing        bool          // no more commands are handled
-	quitRequested  bool          // the client has sent QUIT
-	closed         bool          // the connection is closed
+	loopUse        loopUse       // while the loop is overloaded
+	opRate         opRate
+	closing        bool // no more commands are handled
+	malformed      bool // the connection closes because its input violates the protocol
+	quitRequested  bool // the client has sent QUIT
+	closed         bool // the connection is closed
 	memory         clientMemory
 	countedMemory  int // bytes that the budget of the scheduler contains for the client
 }
@@ -87,7 +92,10 @@
 		c.updateMemory()
 		s.stopIfIdle()
 	}
-	conn.OnWritten = c.updateMemory
+	conn.OnWritten = func() {
+		c.updateMemory()
+		c.resumeReading() // if unsent replies were the reason for the pause
+	}
 	s.clients[c] = true
 	return c
 }
@@ -99,6 +107,19 @@
 	return len(c.pending) > 0 || c.hasSentOp && (c.conn.UnsentBytes() > 0 || c.commandStarted > 0)
 }
 
+// reachesBacklog reports whether the replies that are pending or not sent yet reach a limit. Of clients that send no
+// ops, and of all near the limit of memory, fewer unsent replies are kept.
+func (c *client) reachesBacklog(limit int) bool {
+	s := c.scheduler
+	if !c.hasSentOp || s.memory.nearLimit() {
+		unsentLimit := limit * maxSmallBacklog / maxReplyBacklog
+		if c.conn.UnsentBytes() >= unsentLimit {
+			return true
+		}
+	}
+	return c.replyBacklog() >= limit
+}
+
 // replyBacklog returns an upper bound, in bytes, of the replies that are pending or not sent yet.
 func (c *client) replyBacklog() int { return c.conn.UnsentBytes() + len(c.pending)*maxBody }
 
@@ -123,6 +144,7 @@
 	switch {
 	case s.opsReceived() > opsBefore:
 		c.loopTime = 0
+		c.shareLoop(s.loop.Now()-now, len(b)-used)
 	case !c.closing && !s.admissionClosed:
 		c.loopTime += s.loop.Now() - now
 		if commands > 0 { // an incomplete command may be its first op
@@ -141,14 +163,17 @@
 
 // readSize returns the number of bytes that are read from the client at a time.
 func (c *client) readSize() int {
-	if !c.hasSentOp || c.scheduler.memory.nearLimit() {
+	s := c.scheduler
+	if !c.hasSentOp || s.memory.nearLimit() || s.intake.overloaded(s.loop.Now()) {
 		return smallReadSize
 	}
 	return clientReadSize
 }
 
-// opsReceived returns the number of ops that were admitted or rejected for lack of memory.
-func (s *Scheduler) opsReceived() int { return s.tracker.Counts.Admitted + s.memoryRejections }
+// opsReceived returns the number of ops that were admitted or rejected before admission.
+func (s *Scheduler) opsReceived() int {
+	return s.tracker.Counts.Admitted + s.memoryRejections + s.intake.rejections
+}
 
 // readCommands handles the complete commands in b until a limit of the client is reached. It returns an error if b
 // violates the protocol.
@@ -159,7 +184,10 @@
 		if commands >= maxCommandBatch && s.opsReceived() == opsBefore && !s.admissionClosed {
 			break
 		}
-		if c.replyBacklog() >= maxReplyBacklog && !s.admissionClosed {
+		if commands > 0 && s.loop.Now()-now > turnTime && !s.admissionClosed {
+			break
+		}
+		if c.reachesBacklog(maxReplyBacklog) && !s.admissionClosed {
 			c.paused = true
 			c.conn.Pause()
 			break
@@ -193,16 +221,37 @@
 	if unread == 0 && pause < minThrottle {
 		return
 	}
-	c.paused, c.throttled, c.loopTime = true, true, 0
+	c.loopTime = 0
 	c.scheduler.throttledClients++
-	c.conn.Pause()
-	c.scheduler.loop.Schedule(c.scheduler.loop.Now()+min(pause, maxThrottle), func() {
-		c.throttled = false
+	c.pauseFor(min(pause, maxThrottle), func() {
 		c.scheduler.throttledClients--
 		c.resumeReading()
 	})
 }
 
+// shareLoop is called after ops of the client were handled, which took the given loop time. It pauses reading if the
+// loop is overloaded and the client has used more than its share. If input is left, reading goes on in the next round
+// of the loop at the earliest, so that other clients have their turn.
+func (c *client) shareLoop(spent time.Duration, unread int) {
+	s := c.scheduler
+	now := s.loop.Now()
+	s.intake.observeRound(now, s.loop.RoundAge())
+	pause := s.intake.charge(&c.loopUse, now, spent, s.activeClients)
+	if pause > 0 || unread > 0 && spent > turnTime {
+		c.pauseFor(pause, func() { c.resumeBelow(maxReplyBacklog) })
+	}
+}
+
+// pauseFor stops reading for a time, at least until the next round of the loop, and then calls resume.
+func (c *client) pauseFor(pause time.Duration, resume func()) {
+	c.paused, c.throttled = true, true
+	c.conn.Pause()
+	c.scheduler.loop.Schedule(c.scheduler.loop.Now()+pause, func() {
+		c.throttled = false
+		resume()
+	})
+}
+
 // Closed is called when the client has closed the connection or the connection failed.
 func (c *client) Closed(*eventloop.Conn, error) { c.disconnect() }
 
@@ -229,7 +278,7 @@
 	if errors.As(err, &protocol) {
 		text += ": " + protocol.Reason
 	}
-	c.closing = true
+	c.closing, c.malformed = true, true
 	c.reader, c.memory.incoming = resp.Reader{}, 0
 	defer c.updateMemory()
 	if len(c.pending) > 0 { // flushReplies closes the connection after the last one
@@ -246,6 +295,11 @@
 // flushReplies writes the complete replies in the order of their commands. After the last pending one it closes the
 // connection if a close is due.
 func (c *client) flushReplies() {
+	size := 0
+	for i := 0; i < len(c.pending) && c.pending[i].done; i++ {
+		size += len(c.pending[i].reply)
+	}
+	c.conn.Output = slices.Grow(c.conn.Output, size)
 	for len(c.pending) > 0 && c.pending[0].done {
 		c.conn.Output = append(c.conn.Output, c.pending[0].reply...)
 		c.memory.replies -= len(c.pending[0].reply)
@@ -289,8 +343,11 @@
 
 // resumeReading resumes reading from a paused client if nothing prevents it and the reply backlog is less than half of
 // its limit.
-func (c *client) resumeReading() {
-	if c.paused && !c.throttled && !c.closing && !c.scheduler.admissionClosed && c.replyBacklog() < maxReplyBacklog/2 {
+func (c *client) resumeReading() { c.resumeBelow(maxReplyBacklog / 2) }
+
+// resumeBelow resumes reading from a paused client if nothing prevents it and the reply backlog is less than a limit.
+func (c *client) resumeBelow(backlog int) {
+	if c.paused && !c.throttled && !c.closing && !c.scheduler.admissionClosed && !c.reachesBacklog(backlog) {
 		c.paused = false
 		if c.commandStarted > 0 { // the rest of the command may not have been read because of the pause
 			c.commandStarted = max(c.commandStarted, c.scheduler.loop.Now()-commandTimeout/2)
--- a/scheduler/client_test.go
+++ b/scheduler/client_test.go
@@ -160,7 +160,7 @@
 // Clients that are only throttled do not count, since reading from them resumes after a time. It is called on the loop.
 func (bed *testbed) pausedClients() (n int) {
 	for c := range bed.scheduler.clients {
-		unread := c.replyBacklog() >= maxReplyBacklog/2 && !c.throttled
+		unread := c.reachesBacklog(maxReplyBacklog/2) && !c.throttled
 		if c.paused && unread && !c.conn.NoInputPending() {
 			n++
 		}
--- a/scheduler/client_timeouts.go
+++ b/scheduler/client_timeouts.go
@@ -45,7 +45,7 @@
 		switch {
 		case candidate == nil:
 			return false
-		case candidate.conn.NoInputPending():
+		case candidate.malformed || candidate.conn.NoInputPending():
 			candidate.conn.Close()
 			return true
 		case unread == nil && !candidate.hasSentOp:
@@ -70,16 +70,24 @@
 	return candidate
 }
 
-// mayBeEvicted reports whether the connection may be closed to free its descriptor for another.
+// mayBeEvicted reports whether the connection may be closed to free its descriptor for another. A client whose input
+// violates the protocol is owed an error or a close.
 func (c *client) mayBeEvicted() bool {
+	if c.malformed && len(c.pending) == 0 {
+		return true
+	}
 	if c.isBusy() || c.closing {
 		return false
 	}
 	return !c.hasSentOp || !c.scheduler.shuttingDown && c.scheduler.loop.Now()-c.lastActivity >= minIdle
 }
 
-// evictedBefore reports whether c is evicted before other: clients that never sent an op first, then the longest idle.
+// evictedBefore reports whether c is evicted before other: clients whose input violates the protocol first, then those
+// that never sent an op, then the longest idle.
 func (c *client) evictedBefore(other *client) bool {
+	if c.malformed != other.malformed {
+		return c.malformed
+	}
 	if c.hasSentOp != other.hasSentOp {
 		return !c.hasSentOp
 	}
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -82,6 +82,9 @@
 		r.Rejected(0)
 	case discarded:
 		r.Rejected(0)
+	case isOp && !c.acceptsOp():
+		c.markOpSent()
+		r.Rejected(0)
 	case isOp:
 		r.admit(received)
 	case name == "PING" && len(args) == 1:
@@ -117,6 +120,17 @@
 	c.markOpSent()
 }
 
+// acceptsOp reports whether the next op of the client is passed to the decision module.
+func (c *client) acceptsOp() bool {
+	s := c.scheduler
+	return s.intake.accepts(&c.opRate, s.loop.Now(), backlog{
+		unanswered: len(c.pending) - 1, // without this one
+		queued:     s.tracker.Unanswered() - s.tracker.Outstanding(),
+		servers:    len(s.servers),
+		clients:    s.activeClients,
+	})
+}
+
 // markOpSent records that the client has sent an op.
 func (c *client) markOpSent() {
 	if !c.hasSentOp {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -59,6 +59,7 @@
 	abandonedUnacked int // written commands that were not acknowledged when their op ended
 	countersLoggedAt time.Duration
 	memory           memoryBudget
+	intake           intake
 	memoryWarnedAt   time.Duration
 	memoryRejections int // ops rejected because clients use too much memory
 	memoryFailures   int // values that were not passed on to their clients for that reason
@@ -225,6 +226,8 @@
 		Int("client_memory", s.memory.used).
 		Int("memory_rejections", s.memoryRejections).
 		Int("memory_failures", s.memoryFailures).
+		Int("intake_pauses", s.intake.pauses).
+		Int("intake_rejections", s.intake.rejections).
 		Int("disk_servers", len(s.servers)).
 		Int("connections", s.serverConnCount).
 		Msg("counts")
