scheduler, eventloop: bounds for socket buffers, buffered input and unsent replies

Cause: the kernel's buffers grow to megabytes a socket. After a pause reading went on before the buffered input was handled, so that input grew by more than was handled. Queues kept the records of volumes that had been dropped. Large replies were copied each time their buffer grew. Evidence: socket buffers by sock_diag beside resident pages; heap profiles every half second of a mixed run (trial). Change: client sockets have an even part of an eighth of memory_mb in each direction, connections to disk servers a receive buffer of 128 KB. Conn.Resume handles buffered input before more is read. A dropped volume's queues go with it. Buffers for replies and bulk strings are made once.

--- a/eventloop/connection.go
+++ b/eventloop/connection.go
@@ -66,6 +66,7 @@
 	registered  bool   // the descriptor is in the interest list of epoll
 	dialing     bool   // the connection is not established yet
 	paused      bool   // nothing is read
+	offering    bool   // nothing is read until offerBuffered has run
 	writeQueued bool   // the connection is in loop.pendingWrites
 
 	closed      bool          // the socket is closed
@@ -77,6 +78,13 @@
 // Loop returns the loop that serves the connection.
 func (c *Conn) Loop() *Loop { return c.loop }
 
+// SetReceiveBuffer limits the memory, in bytes, that the kernel uses for input that is not read.
+func (c *Conn) SetReceiveBuffer(bytes int) {
+	if !c.closed {
+		c.loop.setBuffer(c.fd, unix.SO_RCVBUF, bytes)
+	}
+}
+
 // FlushFilter passes on the bytes that FaultFilter has retained and now returns.
 func (c *Conn) FlushFilter() {
 	if c.FaultFilter != nil && !c.closed && !c.dialing {
@@ -102,7 +110,7 @@
 
 func (c *Conn) requiredEvents() uint32 {
 	var events uint32
-	if !c.paused && !c.dialing {
+	if !c.paused && !c.offering && !c.dialing {
 		events |= unix.EPOLLIN
 	}
 	if c.NotifyHalfClose && !c.closing || c.writeClosed {
--- a/eventloop/descriptors.go
+++ b/eventloop/descriptors.go
@@ -73,6 +73,12 @@
 	_ = l.sys.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1) // the socket works without it, only slower
 }
 
+// setBuffer sets the memory, in bytes, that the kernel uses for the receive or send buffer of a socket, see SO_RCVBUF
+// and SO_SNDBUF in socket(7). The kernel doubles the value, to leave room for its own records.
+func (l *Loop) setBuffer(fd, option, bytes int) {
+	_ = l.sys.SetsockoptInt(fd, unix.SOL_SOCKET, option, bytes/2) // the socket works without it
+}
+
 func sockaddr(address netip.AddrPort) unix.Sockaddr {
 	if ip := address.Addr().Unmap(); ip.Is4() {
 		return &unix.SockaddrInet4{Port: int(address.Port()), Addr: ip.As4()}
--- a/eventloop/input.go
+++ b/eventloop/input.go
@@ -40,17 +40,27 @@
 	c.updateInterest()
 }
 
-// Resume continues reading. Input that was received before and not consumed is passed to the handler again.
+// Resume continues reading. Input that was received before and not consumed is passed to the handler again first: if
+// the handler pauses then, nothing more is read. Otherwise a handler that consumes little each time would make the
+// input grow.
 func (c *Conn) Resume() {
 	if !c.paused || c.closed {
 		return
 	}
 	c.paused = false
 	c.arrival.resumedAtPoll = c.loop.polls
-	c.updateInterest()
-	if len(c.input) > 0 {
-		c.loop.Schedule(0, func() { c.offerInput(nil) })
+	if len(c.input) > 0 && !c.offering {
+		c.offering = true
+		c.loop.Schedule(0, c.offerBuffered)
 	}
+	c.updateInterest()
+}
+
+// offerBuffered passes buffered input to the handler, and then continues reading unless the handler has paused.
+func (c *Conn) offerBuffered() {
+	c.offering = false
+	c.offerInput(nil)
+	c.updateInterest()
 }
 
 // inputReady handles input, the end of the stream and errors.
@@ -62,7 +72,7 @@
 		c.failWithSocketError()
 	case notifyHalfClose && events&unix.EPOLLRDHUP != 0:
 		c.fail(nil)
-	case !c.paused:
+	case !c.paused && !c.offering:
 		c.read()
 	case c.writeClosed && events&unix.EPOLLERR == 0:
 		c.closeWhenAcked()
--- a/eventloop/listener.go
+++ b/eventloop/listener.go
@@ -78,6 +78,15 @@
 	return ""
 }
 
+// SetBuffers limits the memory, in bytes, that the kernel uses for each of the two buffers of each connection that is
+// accepted from now on. Accepted sockets inherit the limits of their listener.
+func (ln *Listener) SetBuffers(bytes int) {
+	if !ln.closed {
+		ln.loop.setBuffer(ln.fd, unix.SO_RCVBUF, bytes)
+		ln.loop.setBuffer(ln.fd, unix.SO_SNDBUF, bytes)
+	}
+}
+
 // Close stops accepting and closes the socket. Accepted connections stay open.
 func (ln *Listener) Close() {
 	if !ln.closed {
--- a/policy/expiry.go
+++ b/policy/expiry.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"slices"
 	"time"
 
 	"honeyplank"
@@ -39,13 +40,19 @@
 	}
 }
 
-// dropVolume drops the record of a volume without open ops. If the volume comes again, its limit's
-// bucket holds only what was refilled since the last dispatch for any dropped volume.
+// dropVolume drops the record of a volume without open ops, and its queues, which are empty. If the
+// volume comes again, its limit's bucket holds only what was refilled since the last dispatch for
+// any dropped volume.
 func (e *Engine) dropVolume(volume *volume) {
 	volume.recency.remove()
 	delete(e.volumes, volume.id)
 	e.droppedDispatch = max(e.droppedDispatch, volume.lastDispatch)
 	e.dropped.Volumes++
+	for _, queue := range slices.Clone(volume.queues) { // dropQueue changes the list
+		if queue != queue.server.servedQueue {
+			e.dropQueue(queue)
+		}
+	}
 }
 
 // markQueueIdle is called when a queue is empty, or is used while it is empty.
@@ -75,6 +82,7 @@
 func (e *Engine) dropQueue(queue *volumeQueue) {
 	queue.recency.remove()
 	delete(queue.server.queueByVolume, queue.volume)
+	queue.volume.queues = without(queue.volume.queues, queue)
 	if queue.await.sum > 0 {
 		queue.server.awaited = without(queue.server.awaited, queue)
 	}
--- a/policy/queues.go
+++ b/policy/queues.go
@@ -34,6 +34,7 @@
 		queue = &volumeQueue{volume: owner, server: server, round: -1, serial: server.queueSerial}
 		queue.recency.record = queue
 		server.queueByVolume[owner] = queue
+		owner.queues = append(owner.queues, queue)
 	}
 	return queue
 }
--- a/policy/quota.go
+++ b/policy/quota.go
@@ -28,6 +28,7 @@
 	rankingEpoch    int            // epoch in which topServers was built
 	joinedSeen      int            // number of joinedServers that topServers takes into account
 	openOps         int            // ops admitted and not yet finished
+	queues          []*volumeQueue // at the servers
 	lastSeen        time.Duration
 	lastDispatch    time.Duration // 0: nothing has been sent for it
 	recency         recencyNode[volume]
--- a/resp/resp.go
+++ b/resp/resp.go
@@ -13,6 +13,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"strconv"
 )
 
@@ -331,6 +332,7 @@
 
 // AppendBulk appends a bulk string.
 func AppendBulk(b, text []byte) []byte {
+	b = slices.Grow(b, maxNumberLine+len(text)+len(lineEnd))
 	return append(append(appendHead(b, BulkString, len(text)), text...), lineEnd...)
 }
 
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -210,6 +210,7 @@
 	sc.conn = conn
 	conn.OnClosed = func() { s.serverConnCount-- }
 	conn.BeforeWrite = sc.refreshDeadlines
+	conn.SetReceiveBuffer(serverReceiveBuffer)
 	s.serverConnCount++
 	ds.conns = append(ds.conns, sc)
 	ds.dialing++
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -162,6 +162,7 @@
 	if s.listener, err = s.loop.Listen(s.config.Listen, s.accept); err != nil {
 		return err
 	}
+	s.limitClientBuffers()
 	if s.config.PeerListen != "" && s.site().Gossip {
 		s.peers, err = s.loop.ListenUDP(s.config.PeerListen, s.receiveGossip)
 	}
@@ -241,6 +242,7 @@
 		config.Site = s.config.Site
 		s.config = config
 		s.memory.setLimit(config.MemoryMB)
+		s.limitClientBuffers()
 		s.peerOrdinals = ordinalsByAddress(config.Peers)
 		if discoveryChanged { // without waiting for a scheduled retry, which then has no effect
 			s.stopWatch()
