policy: an empty queue keeps a small map of its keys

Cause: the bounds for records made an empty queue give up its map, so an op with a key that met an empty queue allocated it anew. Change: the map stays unless it has had more than 16 keys, or over 1,024 queues are empty.

--- a/policy/expiry.go
+++ b/policy/expiry.go
@@ -20,6 +20,7 @@
 	maxIdleVolumes     = 2048  // volumes without open ops that were sent something
 	maxUnusedVolumes   = 1024  // volumes without open ops that were sent nothing, so that little is lost with them
 	maxIdleQueues      = 16384 // empty queues, of all servers
+	maxIdleKeyMaps     = 1024  // empty queues beyond which those that become empty keep no map of keys
 	maxEarlierAttempts = 8192  // requests whose time is counted from their first attempt
 	maxUnknownCells    = 1024  // cells with demand, but without a server
 	maxAdmissions      = 65536 // admissions that count for the retry budget
@@ -58,6 +59,9 @@
 // markQueueIdle is called when a queue is empty, or is used while it is empty.
 func (e *Engine) markQueueIdle(queue *volumeQueue) {
 	e.idleQueues.touch(&queue.recency)
+	if e.idleQueues.count > maxIdleKeyMaps && len(queue.ops) == 0 {
+		queue.opsByKey = nil
+	}
 	for checked := 0; e.idleQueues.count > maxIdleQueues && checked <= len(e.serversByID); checked++ {
 		oldest := e.idleQueues.oldest.record
 		if oldest == oldest.server.servedQueue { // at most one for each server
--- a/policy/queues.go
+++ b/policy/queues.go
@@ -15,7 +15,8 @@
 	demand        decayedRate   // units that arrived
 	ops           []*op         // in the order of orderedBefore
 	serial        int           // position in the server's ring of queues
-	opsByKey      map[int64]int // number of queued ops for each key; nil if there is none
+	opsByKey      map[int64]int // number of queued ops for each key
+	manyKeys      bool          // opsByKey has had more than keptQueueCapacity keys
 	smallestUnits float64       // lower bound of the queued ops' units
 	retryCount    int           // queued ops that have been dispatched before
 	round         int           // round in which it was last served
@@ -66,12 +67,14 @@
 	op.queue = nil
 }
 
-// keptQueueCapacity is the number of ops for which an empty queue keeps memory.
+// keptQueueCapacity is the number of ops, and of their keys, for which an empty queue keeps memory.
 const keptQueueCapacity = 16
 
 // release releases the memory of an empty queue that depends on the number of its ops.
 func (queue *volumeQueue) release() {
-	queue.opsByKey = nil
+	if queue.manyKeys {
+		queue.opsByKey, queue.manyKeys = nil, false
+	}
 	if cap(queue.ops) > keptQueueCapacity {
 		queue.ops = nil
 	}
@@ -93,6 +96,7 @@
 		queue.opsByKey = map[int64]int{}
 	}
 	queue.opsByKey[op.Key]++
+	queue.manyKeys = queue.manyKeys || len(queue.opsByKey) > keptQueueCapacity
 }
 
 func (queue *volumeQueue) remove(op *op) {
@@ -155,7 +159,7 @@
 		}
 		e.unassigned += len(queue.ops)
 		queue.ops, queue.retryCount = nil, 0
-		queue.release()
+		queue.opsByKey, queue.manyKeys = nil, false
 		e.markQueueIdle(queue)
 	}
 	server.servedQueue, server.sliceState, server.queuedCount, server.nonEmpty = nil, sliceIdle, 0, nil
