scheduler: an overload begins with rounds of 50 ms, a client's burst is 5 ms

Cause: a scheduler with a tenth of a core needs 1 ms for an op; rounds of 20 ms and bursts of 2 ms would then limit clients that send ordinary bursts. Change: overloadedRound 50 ms, shareBurst 5 ms, maxDebt 25 ms.

--- a/scheduler/intake.go
+++ b/scheduler/intake.go
@@ -8,20 +8,20 @@
 const (
 	// overloadedRound is the duration of a round of the loop that shows that clients send more than the loop can handle
 	// in time. The loop counts as overloaded for overloadMemory after such a round, and after a client was paused.
-	overloadedRound = 20 * time.Millisecond
+	overloadedRound = 50 * time.Millisecond
 	overloadMemory  = 500 * time.Millisecond
 
 	// opShare is the share of the loop's time that the commands of all clients that send ops may use in an overload.
 	// Each client may use an even part of it, and shareBurst at once. The rest is for disk servers, for the replies
 	// and for clients that send no ops.
 	opShare    = 0.5
-	shareBurst = 2 * time.Millisecond
+	shareBurst = 5 * time.Millisecond
 	// turnTime is the loop time after which a client that has more input has to let others go first.
 	turnTime = time.Millisecond
 	// maxSharePause is the longest time for which a client that has used more than its share is not read.
 	maxSharePause = 250 * time.Millisecond
 	// maxDebt is the largest loop time that counts against a client.
-	maxDebt = 20 * time.Millisecond
+	maxDebt = 25 * time.Millisecond
 
 	// rateMemory is the time constant of the rates at which clients send ops.
 	rateMemory = time.Second
