--- a/scheduler/paused_command_test.go
+++ b/scheduler/paused_command_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	fakeresp "honeyplank/fake/resp"
+	"honeyplank/resp"
 )
 
 // TestPausedCommandIsNotTimedOut guards against the loss of a request that the client has sent completely, while the
@@ -37,3 +38,27 @@
 		t.Errorf("reply to the last op is %q", got)
 	}
 }
+
+// TestPausedClientResumesAfterWrite guards against the failure that commands stay unanswered for ever: reading was
+// paused at the backlog of replies, these were written at once after a stall, and the connection, by then idle for too
+// long, was neither resumed nor closed.
+func TestPausedClientResumesAfterWrite(t *testing.T) {
+	bed := newTestbed(t, 1)
+	c := bed.dialClient()
+	c.doRead("first", 400)
+	bed.onLoop(func() { // as after a stall behind the last reply of a full backlog
+		client := bed.client()
+		client.paused = true
+		client.conn.Pause()
+		client.conn.Output = resp.AppendSimpleString(client.conn.Output, "PONG")
+		client.conn.Send()
+		c.sendRead("second", 400)
+		client.lastActivity -= minIdle + time.Millisecond
+		bed.scheduler.activeClients += bed.scheduler.config.Sockets // the idle timeout is minIdle
+	})
+	for _, want := range []string{"PONG", valueOf("second")} {
+		if got := c.readReply(2 * time.Second); got != want {
+			t.Fatalf("reply %q, want %q", got, want)
+		}
+	}
+}
