eventloop: a close after an error waits while the peer receives more of the output

Change: CloseAfterFlush closes after that time only if the peer has received nothing since, and after 10 s in any case, as CloseGracefully does.

--- a/eventloop/close.go
+++ b/eventloop/close.go
@@ -8,7 +8,7 @@
 
 const (
 	// gracefulCloseTimeout is the time for which CloseGracefully waits for the peer to close after all output is
-	// written. CloseAfterFlush closes the socket at the latest after its delay plus this time.
+	// written. CloseAfterFlush closes the socket after its delay plus this time, unless the peer is receiving output.
 	gracefulCloseTimeout = time.Second
 	// unreadCloseTimeout is the time after which CloseGracefully closes the socket even if the peer has not received
 	// the output.
@@ -59,26 +59,40 @@
 		c.Close()
 		return
 	}
-	c.closeAfterOutput(gracefulCloseTimeout, unreadCloseTimeout)
+	c.closeAfterOutput(gracefulCloseTimeout)
+	c.loop.Schedule(c.loop.Now()+unreadCloseTimeout, c.Close)
 }
 
 // CloseAfterFlush ends a connection whose further input is not needed: Output is written, nothing more is read, and
 // the socket is closed after a delay in which the peer can read the output. If the peer has not received the output by
-// then, the socket is closed at most one second later. Handler.Closed is not called.
+// then, the socket is closed one second later, or up to ten seconds after the call while the peer receives more of it
+// each second. Handler.Closed is not called.
 func (c *Conn) CloseAfterFlush(delay time.Duration) {
 	if c.closing || c.closed {
 		return
 	}
-	c.closeAfterOutput(delay, gracefulCloseTimeout+delay)
+	now, unreceived := c.loop.Now(), c.UnackedBytes()
+	c.closeAfterOutput(delay)
+	c.loop.Schedule(now+gracefulCloseTimeout+delay, func() { c.closeWhenStalled(unreceived, now+unreadCloseTimeout) })
+}
+
+// closeWhenStalled closes the socket if the peer has received nothing since unreceived bytes were left, or at the given
+// time. Otherwise it looks again later.
+func (c *Conn) closeWhenStalled(unreceived int, latest time.Duration) {
+	now, left := c.loop.Now(), c.UnackedBytes()
+	if c.closed || left == unreceived || now >= latest {
+		c.Close()
+		return
+	}
+	c.loop.Schedule(min(now+gracefulCloseTimeout, latest), func() { c.closeWhenStalled(left, latest) })
 }
 
 // closeAfterOutput writes Output and shuts down sending. It closes the socket when the peer closes or a delay has
-// passed, but not while the peer could lose output. When the timeout expires, it closes the socket in any case.
-func (c *Conn) closeAfterOutput(delay, timeout time.Duration) {
+// passed, but not while the peer could lose output.
+func (c *Conn) closeAfterOutput(delay time.Duration) {
 	c.closing, c.input, c.closeDelay = true, nil, delay
 	c.Pause()
 	c.write()
-	c.loop.Schedule(c.loop.Now()+timeout, c.Close)
 }
 
 // outputWritten continues a close that was waiting for Output to be written.
